--- /dev/null
+++ b/crates/wingfold-director/src/lib.rs
@@ -0,0 +1,13 @@
+//! The decision logic of wingfold, a traffic director for a fleet of sidecar proxies.
+//!
+//! The crate does no input or output: a caller hands events to a [`Director`] and carries out the
+//! actions it answers with. Time comes only from the caller and randomness only from the seed, so
+//! the same events always give the same actions. See [`interface`] for what goes in and out, and
+//! [`brain`] for every decision.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod brain;
+pub mod interface;
+
+pub use brain::Director;
--- /dev/null
+++ b/crates/wingfold-simhost/src/settings.rs
@@ -0,0 +1,195 @@
+//! The settings object of a `launch` message, and its translation for the decision module.
+//! Unknown keys are ignored.
+
+use serde::Deserialize;
+use std::sync::Arc;
+use wingfold_director::interface as api;
+
+/// The object as it stands on the wire.
+#[derive(Debug, Deserialize)]
+pub struct Info {
+    replicas_of_me: u32,
+    dcs: Vec<String>,
+    pub classes: Vec<Class>,
+    discovery: Discovery,
+    family_info: Family,
+    policy_limits: Limits,
+    report: Report,
+    rules: Rules,
+    #[serde(default)]
+    charges: Charges,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Class {
+    pub name: String,
+    goal_time: u64,
+    deadline: u64,
+    repeat: Repeat,
+    gain: f64,
+    #[serde(default, alias = "only_dcs", alias = "only_zones")]
+    zones: Vec<String>,
+    #[serde(default, alias = "only_flavors", alias = "only_kinds")]
+    flavors: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Repeat {
+    Idempotent,
+    Deduplicated,
+    AtMostOnce,
+}
+
+#[derive(Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Discovery {
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Admit {
+    Share,
+    Rate,
+    Silent,
+}
+
+#[derive(Debug, Deserialize)]
+struct Family {
+    admit: Admit,
+    bare: u64,
+    #[serde(default)]
+    counted_over: u64,
+    egress_per_s: f64,
+    #[serde(default)]
+    ejects: u32,
+    #[serde(default)]
+    home_only: Vec<bool>,
+    overhead: f64,
+    pending_max: f64,
+    period: u64,
+    proxy_count: u32,
+    push_delay: u64,
+    reports_per_s: f64,
+    #[serde(default)]
+    shards: u32,
+    transit_max: u64,
+    #[serde(default)]
+    update_cap: u32,
+}
+
+#[derive(Debug, Deserialize)]
+struct Limits {
+    #[serde(default)]
+    probing: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Report {
+    #[serde(default)]
+    fields: Vec<String>,
+    how: ReportHow,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ReportHow {
+    Piggyback,
+    Pull,
+    Silent,
+}
+
+#[derive(Debug, Deserialize)]
+struct Rules {
+    #[serde(default)]
+    ask_within: u64,
+    cold: u64,
+    drain_grace: u64,
+    overload_factor: f64,
+    overload_for: u64,
+    start_capacity: f64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Charges {
+    #[serde(default)]
+    cross_zone: f64,
+}
+
+/// What the codec itself needs to read an instance's later messages.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Class names by position.
+    pub classes: Vec<String>,
+    /// Names of the values in a load report, in order.
+    pub fields: Vec<String>,
+}
+
+impl Info {
+    /// Names that later messages refer to.
+    pub fn names(&self) -> Names {
+        Names {
+            classes: self.classes.iter().map(|c| c.name.clone()).collect(),
+            fields: self.report.fields.clone(),
+        }
+    }
+
+    /// The same settings in the decision module's own terms.
+    pub fn settings(&self) -> api::Settings {
+        let zone = |name: &String| api::ZoneId(Arc::from(name.as_str()));
+        let family = &self.family_info;
+        let own_zone = |at: usize| family.home_only.get(at).copied().unwrap_or(false);
+        let classes = self.classes.iter().enumerate().map(|(at, class)| api::Class {
+            aim: api::Micros(class.goal_time),
+            deadline: api::Micros(class.deadline),
+            worth: class.gain,
+            effect: match class.repeat {
+                Repeat::Idempotent => api::Effect::Idempotent,
+                Repeat::Deduplicated => api::Effect::Deduplicated,
+                Repeat::AtMostOnce => api::Effect::AtMostOnce,
+            },
+            own_zone: own_zone(at),
+            zones: class.zones.iter().map(zone).collect(),
+            kinds: class.flavors.clone(),
+        });
+        api::Settings {
+            directors: self.replicas_of_me,
+            zones: self.dcs.iter().map(zone).collect(),
+            classes: classes.collect(),
+            list_on_request: self.discovery == Discovery::OnRequest,
+            admission: match family.admit {
+                Admit::Share => api::Admission::Share,
+                Admit::Rate => api::Admission::Rate,
+                Admit::Silent => api::Admission::Ignored,
+            },
+            proxies: family.proxy_count,
+            slices: family.shards,
+            lines_per_s: family.egress_per_s,
+            message_overhead: family.overhead,
+            queue_max: family.pending_max,
+            messages_max: family.update_cap,
+            messages_over: api::Micros(family.counted_over),
+            push_delay: api::Micros(family.push_delay),
+            push_delay_max: api::Micros(family.transit_max),
+            bare: api::Micros(family.bare),
+            report_period: api::Micros(family.period),
+            reports_per_s: family.reports_per_s,
+            ejects: family.ejects,
+            probing: self.policy_limits.probing,
+            load_reports: match self.report.how {
+                ReportHow::Piggyback => api::LoadReports::WithAnswers,
+                ReportHow::Pull => api::LoadReports::WithProbes,
+                ReportHow::Silent => api::LoadReports::Never,
+            },
+            cross_zone_price: self.charges.cross_zone,
+            start_capacity: self.rules.start_capacity,
+            cold: api::Micros(self.rules.cold),
+            drain_grace: api::Micros(self.rules.drain_grace),
+            overload_factor: self.rules.overload_factor,
+            overload_for: api::Micros(self.rules.overload_for),
+            ask_within: api::Micros(self.rules.ask_within),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingfold-simhost/src/wire.rs
@@ -0,0 +1,331 @@
+//! The line protocol: reading events, writing actions. Nothing is decided here.
+
+use crate::settings::{Info, Names};
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use std::fmt::Write;
+use std::str::FromStr;
+use std::sync::Arc;
+use thiserror::Error;
+use wingfold_director::interface::{
+    Action, ClassId, Entry, Event, HostId, ListKind, Load, Micros, ProbeOutcome, ProxyId, Readiness, Retry,
+    Sums, ZoneId,
+};
+
+/// The table number that stands for every joined proxy.
+const ALL_TABLES: u32 = 65_535;
+
+/// What can be wrong with the input.
+#[derive(Debug, Error)]
+pub enum WireError {
+    /// A field that should be there is not.
+    #[error("message `{message}`: field `{field}` is missing")]
+    Missing { message: String, field: &'static str },
+    /// A field does not hold what it should.
+    #[error("message `{message}`: field `{field}` cannot be read: `{value}`")]
+    Invalid { message: String, field: &'static str, value: String },
+    /// More fields than the message has.
+    #[error("message `{message}`: more fields than expected")]
+    Excess { message: String },
+    /// A message that may not stand here, or that the protocol does not have.
+    #[error("message `{message}`: {problem}")]
+    Unexpected { message: String, problem: &'static str },
+    /// Reading or writing failed.
+    #[error("input or output failed: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// The parts of one line, read in order.
+pub struct Fields<'a> {
+    message: &'a str,
+    rest: Option<&'a str>,
+}
+
+impl<'a> Fields<'a> {
+    /// Splits the message name off a line.
+    pub fn new(line: &'a str) -> Self {
+        match line.split_once('\t') {
+            Some((message, rest)) => Fields { message, rest: Some(rest) },
+            None => Fields { message: line, rest: None },
+        }
+    }
+
+    /// The message name.
+    pub fn message(&self) -> &'a str {
+        self.message
+    }
+
+    /// An error about a value of this message.
+    pub fn invalid(&self, field: &'static str, value: &str) -> WireError {
+        WireError::Invalid {
+            message: self.message.to_string(),
+            field,
+            value: value.chars().take(80).collect(),
+        }
+    }
+
+    /// An error about this message as a whole.
+    pub fn unexpected(&self, problem: &'static str) -> WireError {
+        let message = self.message.chars().take(80).collect();
+        WireError::Unexpected { message, problem }
+    }
+
+    /// The next part as text.
+    pub fn text(&mut self, field: &'static str) -> Result<&'a str, WireError> {
+        let missing = || WireError::Missing { message: self.message.to_string(), field };
+        let rest = self.rest.ok_or_else(missing)?;
+        let (value, rest) = match rest.split_once('\t') {
+            Some((value, rest)) => (value, Some(rest)),
+            None => (rest, None),
+        };
+        self.rest = rest;
+        Ok(value)
+    }
+
+    /// Everything to the end of the line.
+    fn tail(&mut self, field: &'static str) -> Result<&'a str, WireError> {
+        let missing = || WireError::Missing { message: self.message.to_string(), field };
+        self.rest.take().ok_or_else(missing)
+    }
+
+    /// The next part, parsed.
+    pub fn value<T: FromStr>(&mut self, field: &'static str) -> Result<T, WireError> {
+        let text = self.text(field)?;
+        text.parse().map_err(|_| self.invalid(field, text))
+    }
+
+    /// The next part, parsed; `-` stands for an absent value.
+    fn optional<T: FromStr>(&mut self, field: &'static str) -> Result<Option<T>, WireError> {
+        let text = self.text(field)?;
+        if text == "-" {
+            return Ok(None);
+        }
+        text.parse().map(Some).map_err(|_| self.invalid(field, text))
+    }
+
+    fn number(&mut self, field: &'static str) -> Result<f64, WireError> {
+        let value: f64 = self.value(field)?;
+        match value.is_finite() {
+            true => Ok(value),
+            false => Err(self.invalid(field, &value.to_string())),
+        }
+    }
+
+    fn flag(&mut self, field: &'static str) -> Result<bool, WireError> {
+        match self.text(field)? {
+            "1" => Ok(true),
+            "0" => Ok(false),
+            other => Err(self.invalid(field, other)),
+        }
+    }
+
+    fn name(&mut self, field: &'static str) -> Result<Arc<str>, WireError> {
+        match self.text(field)? {
+            "" => Err(self.invalid(field, "")),
+            text => Ok(Arc::from(text)),
+        }
+    }
+
+    fn host(&mut self) -> Result<HostId, WireError> {
+        self.name("host").map(HostId)
+    }
+
+    fn zone(&mut self) -> Result<ZoneId, WireError> {
+        self.name("rack_zone").map(ZoneId)
+    }
+
+    fn proxy(&mut self) -> Result<ProxyId, WireError> {
+        self.value("edge").map(ProxyId)
+    }
+
+    fn class(&mut self, names: &Names) -> Result<ClassId, WireError> {
+        let text = self.text("profile")?;
+        let at = names.classes.iter().position(|name| name == text);
+        at.map(ClassId).ok_or_else(|| self.invalid("profile", text))
+    }
+
+    fn bytes(&mut self, field: &'static str) -> Result<Vec<u8>, WireError> {
+        match self.text(field)? {
+            "-" => Ok(Vec::new()),
+            text => STANDARD.decode(text).map_err(|_| self.invalid(field, text)),
+        }
+    }
+
+    fn load(&mut self, names: &Names) -> Result<Load, WireError> {
+        let text = self.text("pressure")?;
+        let mut load = Load::default();
+        if text == "-" || text.is_empty() {
+            return Ok(load);
+        }
+        for (at, part) in text.split(',').enumerate() {
+            let value = match part {
+                "-" => None,
+                _ => Some(part.parse::<f64>().map_err(|_| self.invalid("pressure", text))?),
+            };
+            match names.fields.get(at).map(String::as_str) {
+                Some("busy_reqs") => load.in_hand = value,
+                Some("pending") => load.waiting = value,
+                Some("cpu_share") => load.busy = value,
+                Some("svc_ms") => load.service_ms = value,
+                _ => {}
+            }
+        }
+        Ok(load)
+    }
+
+    /// Makes sure that nothing is left over.
+    pub fn end(&self) -> Result<(), WireError> {
+        match self.rest {
+            None => Ok(()),
+            Some(_) => Err(WireError::Excess { message: self.message.to_string() }),
+        }
+    }
+}
+
+/// Reads the settings of a `launch`.
+pub fn launch(fields: &mut Fields) -> Result<(u64, Info), WireError> {
+    let seed = fields.value("random_seed")?;
+    let text = fields.tail("info")?;
+    let info = serde_json::from_str(text).map_err(|e| fields.invalid("info", &e.to_string()))?;
+    Ok((seed, info))
+}
+
+/// Reads the head of a `fleet` message: `None` for a failed call, and how many entries follow.
+pub fn fleet(fields: &mut Fields) -> Result<(Option<ListKind>, usize), WireError> {
+    let kind = match fields.text("how")? {
+        "Partial" => Some(ListKind::Changes),
+        "Complete" => Some(ListKind::Whole),
+        "Persisted" => Some(ListKind::Remembered),
+        "Error" => None,
+        other => return Err(fields.invalid("how", other)),
+    };
+    fields.optional::<u64>("number")?;
+    let entries = match fields.rest {
+        None if kind.is_none() => 0,
+        _ => fields.optional("items")?.unwrap_or(0),
+    };
+    Ok((kind, entries))
+}
+
+/// Reads one entry of a list.
+pub fn item(fields: &mut Fields) -> Result<Entry, WireError> {
+    let kind = fields.text("kind")?.to_string();
+    let zone = fields.zone()?;
+    fields.optional::<i64>("cell")?;
+    let readiness = match fields.text("readiness")? {
+        "Ready" => Readiness::Ready,
+        "Terminating" => Readiness::Draining,
+        "Gone" => Readiness::Gone,
+        other => return Err(fields.invalid("readiness", other)),
+    };
+    let weight = fields.optional("weight")?.unwrap_or(1.0);
+    let started = fields.optional("up_since")?.filter(|at| *at != 0).map(Micros);
+    let host = fields.host()?;
+    Ok(Entry { host, kind, zone, readiness, weight, started })
+}
+
+fn sums(fields: &mut Fields) -> Result<(u64, u64), WireError> {
+    Ok((fields.value("total")?, fields.value("lost")?))
+}
+
+/// Reads any event of an instance that is neither its start, its end nor its list.
+pub fn event(fields: &mut Fields, names: &Names) -> Result<Event, WireError> {
+    Ok(match fields.message() {
+        "wakeup" => Event::Timer(fields.value("ctx")?),
+        "probe_result" => {
+            let outcome = match fields.value::<u32>("status")? {
+                1 => ProbeOutcome::Ok,
+                3 => ProbeOutcome::TurnedAway,
+                _ => ProbeOutcome::Failed,
+            };
+            fields.optional::<u64>("duration")?;
+            Event::Probed(fields.host()?, outcome, fields.load(names)?)
+        }
+        "message" => Event::Peer(fields.value("who")?, fields.bytes("contents")?),
+        "subscribed" => {
+            let (zone, rate) = (fields.zone()?, fields.number("weight")?);
+            fields.flag("on")?;
+            Event::Joined(fields.proxy()?, zone, rate)
+        }
+        "parted" => Event::Left(fields.proxy()?),
+        "roundup" => {
+            let (zone, host) = (fields.zone()?, fields.host()?);
+            let (total, lost) = sums(fields)?;
+            let mean = Micros(fields.value("duration")?);
+            let over = Micros(fields.value("over")?);
+            Event::Heard(zone, host, Sums { total, lost, over }, mean, fields.load(names)?)
+        }
+        "usage" => {
+            let (proxy, class) = (fields.proxy()?, fields.class(names)?);
+            let (total, lost) = sums(fields)?;
+            Event::Usage(proxy, class, Sums { total, lost, over: Micros(fields.value("over")?) })
+        }
+        "installed" => {
+            let (proxy, mark) = (fields.proxy()?, fields.value("number")?);
+            Event::Applied(proxy, mark, Micros(fields.value("duration")?))
+        }
+        "key_load" => {
+            fields.value::<u32>("set_id")?;
+            fields.class(names)?;
+            sums(fields)?;
+            fields.value::<u64>("over")?;
+            Event::Slice
+        }
+        "charge" => {
+            fields.value::<u32>("set_id")?;
+            fields.flag("on")?;
+            Event::Slice
+        }
+        "held" => {
+            fields.host()?;
+            fields.number("weight")?;
+            fields.value::<u32>("set_id")?;
+            Event::Slice
+        }
+        _ => return Err(fields.unexpected("not a message of this protocol")),
+    })
+}
+
+/// Writes one action as a line.
+pub fn action(out: &mut String, action: &Action) {
+    let flag = |on: &bool| u8::from(*on);
+    let written = match action {
+        Action::Watch(on) => write!(out, "listen\t{}", flag(on)),
+        Action::FetchList => write!(out, "get_list"),
+        Action::Timer(at, token) => write!(out, "timer\t{}\t{token}", at.0),
+        Action::Probe(host) => write!(out, "sample\t{}", host.0),
+        Action::Tell(to, bytes) => {
+            let to = to.map_or(-1, i64::from);
+            let text = match bytes.is_empty() {
+                true => "-".to_string(),
+                false => STANDARD.encode(bytes),
+            };
+            write!(out, "broadcast_to\t{to}\t{text}")
+        }
+        Action::SetLine(table, host, weight) => {
+            write!(out, "assign\t{}\t{}\t{weight}", table.0, host.0)
+        }
+        Action::ClearTable(table) => write!(out, "truncate\t{}", table.0),
+        Action::Bind(proxy, table, classes) => {
+            write!(out, "bind\t{}\t{}\t{}", proxy.0, table.0, classes.0)
+        }
+        Action::Withdraw(host, on) => write!(out, "hold_back\t{}\t{}", flag(on), host.0),
+        Action::Admit(table, classes, level, retry) => {
+            let retry = match retry {
+                Retry::Never => 0,
+                Retry::OnProof => 1,
+                Retry::Once => 2,
+                Retry::Twice => 3,
+            };
+            let table = table.map_or(ALL_TABLES, |table| table.0);
+            write!(out, "allow\t{}\t{level}\t{table}\t{retry}", classes.0)
+        }
+        Action::Mark(all, number) => write!(out, "ask_receipt\t{}\t{number}", flag(all)),
+        Action::Log(text) => {
+            let plain: String = text.chars().map(|c| if c.is_control() { ' ' } else { c }).collect();
+            write!(out, "debug\t{plain}")
+        }
+    };
+    written.expect("writing to a string does not fail");
+    out.push('\n');
+}
