--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -34,6 +34,8 @@
 const OUT_SHARE: f64 = 0.5;
 /// Expected tries without a single line that count as silence: chance leaves 1 in 1000.
 const SILENT_TRIES: f64 = 7.0;
+/// And the other hosts must each have been heard of this often meanwhile: lines may wait their turn.
+const SILENT_TURNS: f64 = 3.0;
 /// First stay outside, doubling up to the longest; then a trial at this weight.
 const OUT_S: f64 = 4.0;
 const OUT_LONGEST_S: f64 = 16.0;
@@ -80,6 +82,8 @@
     faded_at: Micros,
     /// Tries expected by weight since the last line.
     missed: f64,
+    /// Lines of other hosts since then, in turns of the whole table.
+    turns: f64,
     state: Health,
     /// How long the next stay outside lasts.
     stay_s: f64,
@@ -335,17 +339,16 @@
         // Silence is measured against what the other hosts of the zone reported: sums that are
         // late for all, or wait their turn, are silence of none.
         let shares = self.shares(zone);
-        for (other, share) in &shares {
-            if other != host {
-                let path = self.paths.entry((zone.clone(), other.clone())).or_default();
-                path.missed += sums.total as f64 * share;
-            }
+        for (other, share) in shares.iter().filter(|(other, _)| other != host) {
+            let path = self.paths.entry((zone.clone(), other.clone())).or_default();
+            path.missed += sums.total as f64 * share;
+            path.turns += 1.0 / shares.len() as f64;
         }
         let path = self.paths.entry((zone.clone(), host.clone())).or_default();
         path.tries += sums.total as f64;
         path.lost += lost;
         path.time_ms += good * mean.0 as f64 / 1e3;
-        path.missed = 0.0;
+        (path.missed, path.turns) = (0.0, 0.0);
         let fade = 0.5f64.powf(self.now.since(path.faded_at) / HALF_LIFE_S);
         path.good = path.good * fade + good;
         path.bad = path.bad * fade + lost;
@@ -456,14 +459,14 @@
                 let path = self.paths.entry((zone.clone(), id.clone())).or_default();
                 let lossy =
                     path.bad >= OUT_LOST && path.bad / (path.good + path.bad) >= OUT_SHARE.max(usual + 0.3);
-                let silent = path.missed >= SILENT_TRIES;
+                let silent = path.missed >= SILENT_TRIES && path.turns >= SILENT_TURNS;
                 match path.state {
                     Health::In if lossy || silent => suspects.push(id.clone()),
                     Health::In => staying += host.weight,
                     Health::Out { until } if now >= until => {
                         let until = Micros::from_secs(now.secs() + 8.0);
                         path.state = Health::Trial { until };
-                        (path.good, path.bad, path.missed) = (0.0, 0.0, 0.0);
+                        (path.good, path.bad, path.missed, path.turns) = (0.0, 0.0, 0.0, 0.0);
                     }
                     Health::Trial { .. } if path.bad >= 2.0 && path.bad > path.good => {
                         path.stay_s = (2.0 * path.stay_s).min(OUT_LONGEST_S);
@@ -493,7 +496,7 @@
                     "{} out for {}: {bad:.0} lost, {good:.0} good, {:.0} missed",
                     id.0, zone.0, path.missed
                 ));
-                path.missed = 0.0;
+                (path.missed, path.turns) = (0.0, 0.0);
             }
         }
     }
