Steer levels by demand, capacity and wait; eject only hosts that answer nothing

Cause: in overload dozens of slow hosts were ejected and admission swung between all and nothing. Demand is now busy share times open capacity, or the wait over the unloaded latency, over the share let in at the time; started hosts follow slow start only (a quarter on top starved rolling deploys).

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -4,7 +4,7 @@
 //! an owner that scores every host by heard latency and loss; the leading group keeps its listed
 //! weight and laggards halve, step by step. All else answers cases that the design leaves open.
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // ---- 1. Constants -------------------------------------------------------------------------
 /// Score of one percent of loss, in ms (design page).
@@ -29,9 +29,13 @@
 const AIM_MARGIN: f64 = 0.1;
 /// Half-life of the evidence for the fast path; it must span a round of sums.
 const HALF_LIFE_S: f64 = 2.0;
-/// Losses, and their share, that take a host out: a single client's streak is not enough.
+/// Losses that take a host out, their share, and how far that stands out against the usual loss:
+/// a host that still answers is the ranking's affair, and what all hosts lose is overload.
 const OUT_LOST: f64 = 3.0;
-const OUT_SHARE: f64 = 0.5;
+const OUT_SHARE: f64 = 0.8;
+const OUT_ABOVE: f64 = 0.4;
+/// Median loss from which the fleet as a whole is in trouble: then no host is a laggard.
+const COMMON_LOSS: f64 = 0.1;
 /// Expected tries without a single line that count as silence: chance leaves 1 in 1000.
 const SILENT_TRIES: f64 = 7.0;
 /// And the other hosts must each have been heard of this often meanwhile: lines may wait their turn.
@@ -51,6 +55,13 @@
 const CHANNEL_PACE: f64 = 0.5;
 /// Longest time between two looks at the state.
 const TICK_S: f64 = 0.25;
+/// Busy share of the cores that levels aim at, and above which they act.
+const BUSY_AIM: f64 = 0.8;
+const BUSY_MOST: f64 = 0.92;
+/// Usual wait of an answer, as a share of the tightest aim, when the cores are that busy.
+const WAIT_AIM: f64 = 0.2;
+/// Least of a class that is always let in.
+const LEAST_LEVEL: f64 = 0.05;
 /// A level that lets everything in where levels are rates.
 const NO_LIMIT: f64 = 1e6;
 
@@ -60,15 +71,24 @@
     entry: Entry,
     /// Listed weight that tables use; follows the list only on a real change.
     weight: f64,
+    /// Busy share of its cores, as last reported.
+    busy: Option<f64>,
+    probed_at: Micros,
+}
+
+/// Tries, losses among them, and time of the good ones in ms.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    tries: f64,
+    lost: f64,
+    ms: f64,
 }
 
 /// What a zone knows of a host.
 #[derive(Clone, Debug, Default)]
 struct Path {
-    /// Sums since the last round that used them: tries, losses, time of the good ones in ms.
-    tries: f64,
-    lost: f64,
-    time_ms: f64,
+    /// Since the last round that used it.
+    sum: Tally,
     /// Smoothed figures, and the last score.
     latency: Option<f64>,
     loss: f64,
@@ -80,12 +100,11 @@
     good: f64,
     bad: f64,
     faded_at: Micros,
-    /// Tries expected by weight since the last line.
+    /// Since the last line: tries expected by weight, and turns of lines of the other hosts.
     missed: f64,
-    /// Lines of other hosts since then, in turns of the whole table.
     turns: f64,
     state: Health,
-    /// How long the next stay outside lasts.
+    /// How long the stay outside lasts.
     stay_s: f64,
 }
 
@@ -121,7 +140,7 @@
     mask: u64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Table {
     id: TableId,
     /// What was ordered: lines, and levels by class.
@@ -141,7 +160,7 @@
 }
 
 /// One director's decisions.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Director {
     set: Settings,
     random: u64,
@@ -154,8 +173,13 @@
     proxies: BTreeMap<ProxyId, Proxy>,
     groups: Vec<Group>,
     tables: BTreeMap<(ZoneId, usize), Table>,
-    /// Share of the work of each class let in.
-    admitted: Vec<f64>,
+    /// Share of the work that is let in, and what it was when the present figures were measured.
+    admitted: f64,
+    let_in: VecDeque<(Micros, f64)>,
+    /// The lowest median latency of a round so far: what an answer takes without waiting.
+    unloaded_ms: f64,
+    /// All work that is asked for, in units of listed weight.
+    demand: f64,
     strained: bool,
     /// Lines that wait in the channel, as modelled.
     queued: f64,
@@ -184,28 +208,7 @@
                 }),
             }
         }
-        Director {
-            random: seed | 1,
-            now: Micros(0),
-            next_tick: Micros(0),
-            next_round: Micros(0),
-            fleet: BTreeMap::new(),
-            paths: BTreeMap::new(),
-            moved_at: BTreeMap::new(),
-            proxies: BTreeMap::new(),
-            groups,
-            tables: BTreeMap::new(),
-            admitted: vec![1.0; settings.classes.len()],
-            strained: false,
-            queued: 0.0,
-            queued_at: Micros(0),
-            watching: false,
-            ask_at: Micros(0),
-            failures: 0,
-            told_of_slices: false,
-            notes: Vec::new(),
-            set: settings,
-        }
+        Director { set: settings, groups, random: seed | 1, admitted: 1.0, ..Director::default() }
     }
 
     /// Takes in events that happened at `now` and appends what is to be done.
@@ -222,6 +225,7 @@
             return;
         }
         self.ask(out);
+        self.probe(out);
         self.judge();
         if self.now >= self.next_round {
             self.round();
@@ -270,7 +274,11 @@
             Event::Left(proxy) => {
                 self.proxies.remove(proxy);
             }
-            Event::Heard(zone, host, sums, mean, _) => self.heard(zone, host, *sums, *mean),
+            Event::Heard(zone, host, sums, mean, load) => {
+                self.heard(zone, host, *sums, *mean);
+                self.loaded(host, load);
+            }
+            Event::Probed(host, _, load) => self.loaded(host, load),
             Event::Usage(proxy, class, sums) => {
                 if let Some(proxy) = self.proxies.get_mut(proxy) {
                     let rate = sums.total as f64 / sums.over.secs().max(0.1);
@@ -278,8 +286,7 @@
                     *usage += 0.5 * (rate - *usage);
                 }
             }
-            Event::Timer(_) | Event::Probed(..) | Event::Peer(..) => {}
-            Event::Applied(..) | Event::Slice => {}
+            Event::Timer(_) | Event::Peer(..) | Event::Applied(..) | Event::Slice => {}
         }
     }
 
@@ -304,17 +311,14 @@
                 self.notes.push(format!("{} is {:?}", entry.host.0, entry.readiness));
             }
             let kept = known.map(|k| k.weight).filter(|k| (k / weight - 1.0).abs() < 0.25);
-            let host = Host { entry: entry.clone(), weight: kept.unwrap_or(weight) };
-            let is_new = known.is_none();
+            let weight = kept.unwrap_or(weight);
+            let host = Host { entry: entry.clone(), weight, busy: None, probed_at: Micros(0) };
+            let is_new = known.is_none() && !first;
             self.fleet.insert(entry.host.clone(), host);
-            if restarted || back || (is_new && !first) {
-                // A new process shares nothing with the old one: what was heard of that is void,
-                // and it stays reduced until confirmed.
+            if restarted || back || is_new {
+                // A new process shares nothing with the old one: what was heard of that is void.
+                // Slow start keeps it reduced; a quarter on top would starve a rolling deploy.
                 self.paths.retain(|(_, host), _| *host != entry.host);
-                for zone in self.set.zones.clone() {
-                    let path = Path { step: LOWEST_STEP, ..Path::default() };
-                    self.paths.insert((zone, entry.host.clone()), path);
-                }
                 self.notes.push(format!("{} has started", entry.host.0));
             }
         }
@@ -329,6 +333,18 @@
         out.push(if self.set.list_on_request { Action::Watch(true) } else { Action::FetchList });
     }
 
+    /// Probes, where load is told in no other way: each ready host once a round.
+    fn probe(&mut self, out: &mut Vec<Action>) {
+        if !self.set.probing || self.set.load_reports != LoadReports::WithProbes {
+            return;
+        }
+        let ready = self.fleet.iter_mut().filter(|(_, h)| h.entry.readiness == Readiness::Ready);
+        for (id, host) in ready.filter(|(_, h)| self.now.since(h.probed_at) >= ROUND_S) {
+            host.probed_at = self.now;
+            out.push(Action::Probe(id.clone()));
+        }
+    }
+
     // ---- 3. Evidence ----------------------------------------------------------------------
     fn heard(&mut self, zone: &ZoneId, host: &HostId, sums: Sums, mean: Micros) {
         if !self.fleet.contains_key(host) || sums.total == 0 {
@@ -345,9 +361,9 @@
             path.turns += 1.0 / shares.len() as f64;
         }
         let path = self.paths.entry((zone.clone(), host.clone())).or_default();
-        path.tries += sums.total as f64;
-        path.lost += lost;
-        path.time_ms += good * mean.0 as f64 / 1e3;
+        path.sum.tries += sums.total as f64;
+        path.sum.lost += lost;
+        path.sum.ms += good * mean.0 as f64 / 1e3;
         (path.missed, path.turns) = (0.0, 0.0);
         let fade = 0.5f64.powf(self.now.since(path.faded_at) / HALF_LIFE_S);
         path.good = path.good * fade + good;
@@ -355,6 +371,12 @@
         path.faded_at = self.now;
     }
 
+    fn loaded(&mut self, host: &HostId, load: &Load) {
+        if let (Some(host), Some(busy)) = (self.fleet.get_mut(host), load.busy) {
+            host.busy = Some(host.busy.map_or(busy, |known| known + 0.5 * (busy - known)));
+        }
+    }
+
     /// Shares of the zone's ordinary traffic by what was ordered.
     fn shares(&self, zone: &ZoneId) -> Vec<(HostId, f64)> {
         let Some(table) = self.tables.get(&(zone.clone(), 0)) else { return Vec::new() };
@@ -364,40 +386,46 @@
 
     // ---- 4. Ranking: the design -----------------------------------------------------------
     fn round(&mut self) {
-        let mut whole: BTreeMap<HostId, (f64, f64, f64)> = BTreeMap::new();
-        for ((_, host), path) in &self.paths {
-            let sum = whole.entry(host.clone()).or_default();
-            *sum = (sum.0 + path.tries, sum.1 + path.lost, sum.2 + path.time_ms);
-        }
-        let mut fresh: BTreeMap<(ZoneId, HostId), bool> = BTreeMap::new();
+        let mut whole: BTreeMap<HostId, Tally> = BTreeMap::new();
+        for ((_, host), Path { sum, .. }) in &self.paths {
+            let all = whole.entry(host.clone()).or_default();
+            *all = Tally { tries: all.tries + sum.tries, lost: all.lost + sum.lost, ms: all.ms + sum.ms };
+        }
+        let heard = || whole.values().filter(|t| t.tries >= 3.0);
+        let loss = median(heard().map(|t| t.lost / t.tries));
+        let latency = median(heard().filter(|t| t.tries > t.lost).map(|t| t.ms / (t.tries - t.lost)));
+        let mut fresh: BTreeSet<(ZoneId, HostId)> = BTreeSet::new();
         for (key, path) in &mut self.paths {
-            let (tries, lost, time_ms) = whole[&key.1];
+            let (all, own) = (whole[&key.1], path.sum);
             // A seldom-heard host must not confirm noise: too few tries make no figure, and a
             // zone that heard little of its own leans on what the other zones heard.
-            if tries < ENOUGH {
+            if all.tries < ENOUGH {
                 continue;
             }
-            let loss = (path.lost + PRIOR * lost / tries) / (path.tries + PRIOR);
+            let loss = (own.lost + PRIOR * all.lost / all.tries) / (own.tries + PRIOR);
             path.loss += 0.5 * (loss - path.loss);
-            let good = path.tries - path.lost;
-            let mean = if tries > lost { time_ms / (tries - lost) } else { 0.0 };
-            if tries > lost {
-                let latency = (path.time_ms + PRIOR * mean) / (good + PRIOR);
-                let known = path.latency.unwrap_or(latency);
-                path.latency = Some(known + 0.5 * (latency - known));
+            if all.tries > all.lost {
+                let mean = all.ms / (all.tries - all.lost);
+                let latency = (own.ms + PRIOR * mean) / (own.tries - own.lost + PRIOR);
+                path.latency = Some(path.latency.map_or(latency, |known| known + 0.5 * (latency - known)));
             }
             path.score = path.latency.map(|ms| ms + LOSS_MS * 100.0 * path.loss);
-            (path.tries, path.lost, path.time_ms) = (0.0, 0.0, 0.0);
-            fresh.insert(key.clone(), true);
+            path.sum = Tally::default();
+            fresh.insert(key.clone());
         }
         for zone in self.set.zones.clone() {
             self.rank(&zone, &fresh);
         }
-        self.levels(&whole);
+        self.levels(loss.unwrap_or(0.0), latency.unwrap_or(0.0));
     }
 
     /// Moves hosts of one owner in and out of its leading group.
-    fn rank(&mut self, zone: &ZoneId, fresh: &BTreeMap<(ZoneId, HostId), bool>) {
+    fn rank(&mut self, zone: &ZoneId, fresh: &BTreeSet<(ZoneId, HostId)>) {
+        // If all exits fail the order stays (design page): losses that most hosts share say nothing
+        // of any one of them, and fewer hosts would only make an overload worse.
+        if self.usual_loss(zone) >= COMMON_LOSS {
+            return;
+        }
         let mut scored: Vec<(f64, f64)> = Vec::new();
         for (id, host) in &self.fleet {
             let path = self.paths.get(&(zone.clone(), id.clone()));
@@ -414,14 +442,14 @@
             held >= GROUP_SHARE * total
         });
         let Some(lead) = lead.map(|s| s.0) else { return };
-        let aim = self.set.classes.iter().map(|c| c.aim.secs() * 1e3).fold(f64::MAX, f64::min);
+        let aim = self.tightest_aim_ms();
         let since = self.moved_at.get(zone).map_or(f64::MAX, |at| self.now.since(*at));
         let mut moved = false;
         for (key, path) in self.paths.range_mut((zone.clone(), HostId("".into()))..) {
             if key.0 != *zone {
                 break;
             }
-            if !fresh.contains_key(key) || path.state != Health::In {
+            if !fresh.contains(key) || path.state != Health::In {
                 continue;
             }
             let Some(score) = path.score else { continue };
@@ -457,9 +485,9 @@
             for (id, host) in self.fleet.iter().filter(|(_, host)| open(host)) {
                 total += host.weight;
                 let path = self.paths.entry((zone.clone(), id.clone())).or_default();
-                let lossy =
-                    path.bad >= OUT_LOST && path.bad / (path.good + path.bad) >= OUT_SHARE.max(usual + 0.3);
-                let silent = path.missed >= SILENT_TRIES && path.turns >= SILENT_TURNS;
+                let lossy = path.bad >= OUT_LOST
+                    && path.bad / (path.good + path.bad) >= OUT_SHARE.max(usual + OUT_ABOVE);
+                let silent = path.missed >= SILENT_TRIES && path.turns >= SILENT_TURNS && usual < COMMON_LOSS;
                 match path.state {
                     Health::In if lossy || silent => suspects.push(id.clone()),
                     Health::In => staying += host.weight,
@@ -503,14 +531,9 @@
 
     /// The median loss of a zone's hosts: an outlier must stand out against it.
     fn usual_loss(&self, zone: &ZoneId) -> f64 {
-        let mut losses: Vec<f64> = Vec::new();
-        for (key, path) in self.paths.iter().filter(|(key, _)| key.0 == *zone) {
-            if path.state == Health::In && path.good + path.bad >= 2.0 && self.is_ready(&key.1) {
-                losses.push(path.bad / (path.good + path.bad));
-            }
-        }
-        losses.sort_by(f64::total_cmp);
-        losses.get(losses.len() / 2).copied().unwrap_or(0.0)
+        let mine = self.paths.iter().filter(|(key, _)| key.0 == *zone && self.is_ready(&key.1));
+        let heard = mine.filter(|(_, p)| p.state == Health::In && p.good + p.bad >= 2.0);
+        median(heard.map(|(_, p)| p.bad / (p.good + p.bad))).unwrap_or(0.0)
     }
 
     fn is_ready(&self, host: &HostId) -> bool {
@@ -533,30 +556,67 @@
     }
 
     // ---- 7. Levels and further tries ------------------------------------------------------
-    /// Lets less in when answers come late or not at all, least worth per time first.
-    fn levels(&mut self, whole: &BTreeMap<HostId, (f64, f64, f64)>) {
-        let sum = whole.values().fold((0.0, 0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1, a.2 + s.2));
-        if sum.0 < ENOUGH {
-            return;
-        }
-        let loss = sum.1 / sum.0;
-        let latency = if sum.0 > sum.1 { sum.2 / (sum.0 - sum.1) } else { f64::MAX };
-        let aim = self.set.classes.iter().map(|c| c.aim.secs() * 1e3).fold(f64::MAX, f64::min);
-        let strain = (latency / aim / 0.7).max(loss / 0.15);
-        self.strained = strain > 0.8;
-        let mut order: Vec<usize> = (0..self.set.classes.len()).collect();
-        let value = |at: &usize| self.set.classes[*at].worth / self.set.classes[*at].aim.secs();
-        order.sort_by(|a, b| value(a).total_cmp(&value(b)));
-        if strain > 1.0 {
-            let lowest = order.iter().find(|at| self.admitted[**at] > 0.1);
-            if let Some(at) = lowest {
-                self.admitted[*at] = (self.admitted[*at] * (1.0 / strain).max(0.6)).max(0.05);
-            }
-        } else if strain < 0.7 {
-            if let Some(at) = order.iter().rev().find(|at| self.admitted[**at] < 1.0) {
-                self.admitted[*at] = (self.admitted[*at] + 0.1).min(1.0);
+    /// Lets less in while the hosts cannot do it all. Demand is the cores' busy share times the
+    /// capacity that was open, over the share let in when it was measured; so a drain or a cold
+    /// start shows at once, and a cut is not repeated before it can be seen.
+    fn levels(&mut self, loss: f64, latency: f64) {
+        let (mut capacity, mut seen, mut used) = (0.0, 0.0, 0.0);
+        for (id, host) in self.fleet.iter().filter(|(_, h)| h.entry.readiness == Readiness::Ready) {
+            let states = self.set.zones.iter().filter_map(|z| self.paths.get(&(z.clone(), id.clone())));
+            if states.clone().count() > 0 && states.clone().all(|p| p.state != Health::In) {
+                continue;
             }
+            let open = host.weight * self.warmth(host);
+            capacity += open;
+            if let Some(busy) = host.busy {
+                (seen, used) = (seen + open, used + open * busy);
+            }
+        }
+        if latency > 0.0 && (self.unloaded_ms == 0.0 || latency < self.unloaded_ms) {
+            self.unloaded_ms = latency;
+        }
+        let wait = (latency - self.unloaded_ms) / self.tightest_aim_ms();
+        let busy = if seen > 0.0 { used / seen } else { 0.0 };
+        let load = busy.max(BUSY_AIM + wait - WAIT_AIM);
+        self.strained = load >= BUSY_MOST || loss >= COMMON_LOSS;
+        let lag = self.set.report_period.secs() + self.set.push_delay.secs() + 1.0;
+        while self.let_in.len() > 1 && self.now.since(self.let_in[1].0) >= lag {
+            self.let_in.pop_front();
+        }
+        let was = self.let_in.front().map_or(1.0, |l| l.1);
+        // Saturated cores don't tell how much more was asked of them; losses do, roughly.
+        let hidden = if load >= BUSY_MOST { 1.0 + loss.min(0.5) } else { 1.0 };
+        let demand = load * hidden * capacity / was;
+        self.demand += 0.5 * (demand - self.demand);
+        let share = BUSY_AIM * capacity / self.demand.max(1e-9);
+        let share = if share >= 0.9 { 1.0 } else { (share * 20.0).round().max(1.0) / 20.0 };
+        if share != self.admitted {
+            let why = format!("loss {loss:.2}, busy {busy:.2}, {latency:.0} ms");
+            self.notes.push(format!("lets in {share:.2} of the work: {why}"));
+        }
+        self.admitted = share;
+        self.let_in.push_back((self.now, share));
+    }
+
+    fn tightest_aim_ms(&self) -> f64 {
+        self.set.classes.iter().map(|c| c.aim.secs() * 1e3).fold(f64::MAX, f64::min)
+    }
+
+    /// The share of a class that is let in. What is worth least for its work goes first; a class's
+    /// aim stands for the work of a request, which is not told.
+    fn share(&self, class: usize) -> f64 {
+        let worth = |at: usize| self.set.classes[at].worth / self.set.classes[at].aim.secs();
+        let work = |at: usize| {
+            let rates = self.proxies.values().filter_map(|p| p.usage.get(&ClassId(at)));
+            rates.sum::<f64>() * self.set.classes[at].aim.secs()
+        };
+        let all = 0..self.set.classes.len();
+        let total: f64 = all.clone().map(work).sum();
+        let before: f64 = all.filter(|at| worth(*at) > worth(class)).map(work).sum();
+        if self.admitted >= 1.0 || total <= 0.0 {
+            return 1.0;
         }
+        ((self.admitted * total - before) / work(class).max(1e-9)).clamp(LEAST_LEVEL, 1.0)
     }
 
     /// The level and way of trying again of a class in a zone's table.
@@ -565,7 +625,7 @@
         // safe to repeat may go again after any failure, and not while hosts are strained.
         let idempotent = self.set.classes[class].effect == Effect::Idempotent;
         let retry = if idempotent && !self.strained { Retry::Once } else { Retry::OnProof };
-        let share = self.admitted[class];
+        let share = self.share(class);
         let level = match self.set.admission {
             Admission::Share => (share * 20.0).round() / 20.0,
             Admission::Rate if share < 1.0 => self.cap(zone, ClassId(class), share),
@@ -790,3 +850,9 @@
         }
     }
 }
+
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
--- a/crates/wingfold-director/src/interface.rs
+++ b/crates/wingfold-director/src/interface.rs
@@ -34,7 +34,7 @@
 pub struct ProxyId(pub u32);
 
 /// A table's number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TableId(pub u32);
 
 /// A class of requests, by its position in the settings.
@@ -46,9 +46,10 @@
 pub struct ClassMask(pub u64);
 
 /// What happens when a request of a class runs twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// Safe to repeat.
+    #[default]
     Idempotent,
     /// A repeat is dropped, but only by the hosts of one group and for a while.
     Deduplicated,
@@ -76,9 +77,10 @@
 }
 
 /// How a proxy understands the level of a class.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Admission {
     /// A share of what comes.
+    #[default]
     Share,
     /// Requests a second at each proxy.
     Rate,
@@ -87,9 +89,10 @@
 }
 
 /// Where load reports come from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LoadReports {
     /// With the sums and with probes.
+    #[default]
     WithAnswers,
     /// With probes only.
     WithProbes,
@@ -98,7 +101,7 @@
 }
 
 /// What a director is told when it starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// How many directors there are.
     pub directors: u32,
