--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -1,71 +1,68 @@
 //! Every decision of a wingfold director. What goes in and out is defined in `interface.rs`.
 //!
-//! Ordinary tables follow the Best Exit Selection Design (docs/design.md): each zone of proxies is
-//! an owner that scores every host by heard latency and loss; the leading group keeps its listed
-//! weight and laggards halve, step by step. All else answers cases that the design leaves open.
+//! Ordinary tables follow the Best Exit Selection Design (docs/design.md): each zone of proxies is an owner
+//! that scores every host by heard latency and loss; the leading group keeps its listed weight and laggards
+//! halve, step by step. All else answers cases that the design leaves open.
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-// ---- 1. Constants -------------------------------------------------------------------------
-/// Score of one percent of loss, in ms (design page).
+// ---- 1. Constants ----------------------------------------------------------------------------------------
+/// Score of one percent of loss, in ms; smallest margin in ms, and its share of the score (design page).
 const LOSS_MS: f64 = 100.0;
-/// Smallest margin in ms, and its share of the score compared (design page).
 const MARGIN_MS: f64 = 20.0;
 const MARGIN_SHARE: f64 = 0.15;
-/// Rounds in a row that confirm a move (design page).
+/// Times well inside the tightest aim earn alike: this share of it counts as margin too.
+const AIM_MARGIN: f64 = 0.1;
+/// Rounds in a row that confirm a move, shortest round and owner's cooldown in seconds (design page).
 const CONFIRM: u32 = 3;
-/// Shortest round, and an owner's cooldown, in seconds (design page).
 const ROUND_S: f64 = 2.0;
 const COOLDOWN_S: f64 = 8.0;
 /// A laggard halves down to a quarter (design page).
 const LOWEST_STEP: u32 = 2;
-/// Fresh tries that make a figure: below that a mean of skewed times says little.
+/// Fresh tries that make a figure; a zone's own tries weigh against all zones' mean as if that had PRIOR.
 const ENOUGH: f64 = 6.0;
-/// A zone's own figure weighs against the director's whole figure as if that had this many tries.
 const PRIOR: f64 = 6.0;
 /// The group must hold this share of the listed weight: one server cannot carry a zone.
 const GROUP_SHARE: f64 = 0.5;
-/// Times well inside the tightest aim earn alike: this share of it counts as margin too.
-const AIM_MARGIN: f64 = 0.1;
-/// Half-life of the evidence for the fast path; it must span a round of sums.
+/// Half-life of the evidence of the fast path; it must span a round of sums.
 const HALF_LIFE_S: f64 = 2.0;
-/// Losses that take a host out, their share, and how far that stands out against the usual loss:
-/// a host that still answers is the ranking's affair, and what all hosts lose is overload.
+/// Losses that take a host out, their share, and how far that stands out against the usual loss: a host
+/// that still answers is the ranking's affair, and what all hosts lose is overload.
 const OUT_LOST: f64 = 3.0;
 const OUT_SHARE: f64 = 0.8;
 const OUT_ABOVE: f64 = 0.4;
 /// Median loss from which the fleet as a whole is in trouble: then no host is a laggard.
 const COMMON_LOSS: f64 = 0.1;
-/// Expected tries without a single line that count as silence: chance leaves 1 in 1000.
+/// Tries expected of a host without a line that count as silence (chance leaves 1 in 1000), if the other
+/// hosts have each been heard of this often meanwhile: lines may wait their turn.
 const SILENT_TRIES: f64 = 7.0;
-/// And the other hosts must each have been heard of this often meanwhile: lines may wait their turn.
 const SILENT_TURNS: f64 = 3.0;
-/// First stay outside, doubling up to the longest; then a trial at this weight.
+/// First stay outside, doubling up to the longest; then a trial of at most this long at this weight.
 const OUT_S: f64 = 4.0;
 const OUT_LONGEST_S: f64 = 16.0;
+const TRIAL_S: f64 = 8.0;
 const TRIAL: f64 = 0.125;
-/// Panic threshold: hosts are not taken out when less listed weight than this would stay.
+/// Panic threshold: hosts are not taken out when less of the listed weight than this would stay.
 const PANIC_SHARE: f64 = 0.2;
 /// Weight of hosts in other zones where crossing has a price.
 const REMOTE: f64 = 0.25;
 /// Use of a cold host's budget, and the fleet's load that is assumed where it is not known.
 const COLD_USE: f64 = 0.5;
 const ASSUMED_LOAD: f64 = 0.75;
-/// The channel is taken to run at this share of its usual pace: slow days are not announced.
-const CHANNEL_PACE: f64 = 0.5;
-/// Longest time between two looks at the state.
-const TICK_S: f64 = 0.25;
-/// Busy share of the cores that levels aim at, and above which they act.
+/// Busy share of the cores that levels aim at, and where strain begins; the wait of an answer, as a share
+/// of the tightest aim, that goes with the former; least of a class that is always let in.
 const BUSY_AIM: f64 = 0.8;
 const BUSY_MOST: f64 = 0.92;
-/// Usual wait of an answer, as a share of the tightest aim, when the cores are that busy.
 const WAIT_AIM: f64 = 0.2;
-/// Least of a class that is always let in.
 const LEAST_LEVEL: f64 = 0.05;
 /// A level that lets everything in where levels are rates.
 const NO_LIMIT: f64 = 1e6;
+/// The channel is taken to run at this share of its usual pace: slow days are not announced.
+const CHANNEL_PACE: f64 = 0.5;
+/// Longest time between two looks at the state.
+const TICK_S: f64 = 0.25;
 
-// ---- State --------------------------------------------------------------------------------
+// ---- State -----------------------------------------------------------------------------------------------
 #[derive(Clone, Debug)]
 struct Host {
     entry: Entry,
@@ -76,6 +73,12 @@
     probed_at: Micros,
 }
 
+impl Host {
+    fn ready(&self) -> bool {
+        self.entry.readiness == Readiness::Ready
+    }
+}
+
 /// Tries, losses among them, and time of the good ones in ms.
 #[derive(Clone, Copy, Debug, Default)]
 struct Tally {
@@ -112,32 +115,16 @@
 enum Health {
     #[default]
     In,
-    Out {
-        until: Micros,
-    },
-    Trial {
-        until: Micros,
-    },
+    Out(Micros),
+    Trial(Micros),
 }
 
-#[derive(Clone, Debug)]
-struct Proxy {
-    zone: ZoneId,
-    rate: f64,
-    bound: bool,
-    /// When messages went to it, within the span that is limited.
-    sent: VecDeque<Micros>,
-    /// Smoothed requests a second by class.
-    usage: BTreeMap<ClassId, f64>,
-}
-
-/// Classes that may go to the same hosts share a table per zone.
-#[derive(Clone, Debug)]
-struct Group {
-    own_zone: bool,
-    zones: Vec<ZoneId>,
-    kinds: Vec<String>,
-    mask: u64,
+/// An owner: what it knows of the hosts, its tables by group, and when its ranking last moved.
+#[derive(Clone, Debug, Default)]
+struct Zone {
+    paths: BTreeMap<HostId, Path>,
+    tables: Vec<Table>,
+    moved_at: Option<Micros>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -150,6 +137,32 @@
     full: f64,
 }
 
+/// Classes that may go to the same hosts share a table per zone.
+#[derive(Clone, Debug)]
+struct Group {
+    sample: Class,
+    mask: u64,
+}
+
+impl Group {
+    fn may_go(&self, zone: &ZoneId, entry: &Entry) -> bool {
+        let class = &self.sample;
+        (!class.own_zone || entry.zone == *zone)
+            && (class.zones.is_empty() || class.zones.contains(&entry.zone))
+            && (class.kinds.is_empty() || class.kinds.contains(&entry.kind))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Proxy {
+    zone: ZoneId,
+    bound: bool,
+    /// When messages went to it, within the span that is limited.
+    sent: VecDeque<Micros>,
+    /// Smoothed requests a second by class.
+    usage: BTreeMap<ClassId, f64>,
+}
+
 /// How urgent an order is; lower goes first and may use more of the channel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -159,6 +172,8 @@
     Ordinary,
 }
 
+type Zones = BTreeMap<ZoneId, Zone>;
+
 /// One director's decisions.
 #[derive(Clone, Debug, Default)]
 pub struct Director {
@@ -168,27 +183,24 @@
     next_tick: Micros,
     next_round: Micros,
     fleet: BTreeMap<HostId, Host>,
-    paths: BTreeMap<(ZoneId, HostId), Path>,
-    moved_at: BTreeMap<ZoneId, Micros>,
+    zones: Zones,
     proxies: BTreeMap<ProxyId, Proxy>,
     groups: Vec<Group>,
-    tables: BTreeMap<(ZoneId, usize), Table>,
     /// Share of the work that is let in, and what it was when the present figures were measured.
     admitted: f64,
     let_in: VecDeque<(Micros, f64)>,
     /// The lowest median latency of a round so far: what an answer takes without waiting.
-    unloaded_ms: f64,
+    unloaded_ms: Option<f64>,
     /// All work that is asked for, in units of listed weight.
     demand: f64,
     strained: bool,
     /// Lines that wait in the channel, as modelled.
     queued: f64,
     queued_at: Micros,
-    /// The list: asked for and not answered yet, when to ask next, failures in a row.
+    /// The list: asked for and not failed since, when to ask next, failures in a row.
     watching: bool,
     ask_at: Micros,
     failures: u32,
-    told_of_slices: bool,
     notes: Vec<String>,
 }
 
@@ -197,41 +209,38 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let mut groups: Vec<Group> = Vec::new();
         for (at, class) in settings.classes.iter().enumerate() {
-            let own = (class.own_zone, &class.zones, &class.kinds);
-            match groups.iter_mut().find(|g| (g.own_zone, &g.zones, &g.kinds) == own) {
+            let limits = |c: &Class| (c.own_zone, c.zones.clone(), c.kinds.clone());
+            match groups.iter_mut().find(|g| limits(&g.sample) == limits(class)) {
                 Some(group) => group.mask |= 1 << at,
-                None => groups.push(Group {
-                    own_zone: class.own_zone,
-                    zones: class.zones.clone(),
-                    kinds: class.kinds.clone(),
-                    mask: 1 << at,
-                }),
+                None => groups.push(Group { sample: class.clone(), mask: 1 << at }),
             }
         }
-        Director { set: settings, groups, random: seed | 1, admitted: 1.0, ..Director::default() }
+        let notes = match settings.slices {
+            0 => Vec::new(),
+            _ => vec!["slices are not supported: no orders are given".to_string()],
+        };
+        let zones = settings.zones.clone();
+        let start = Director { random: seed | 1, admitted: 1.0, ..Director::default() };
+        let mut director = Director { set: settings, groups, notes, ..start };
+        zones.iter().for_each(|zone| director.know(zone));
+        director
     }
 
     /// Takes in events that happened at `now` and appends what is to be done.
     pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
         self.now = now.max(self.now);
-        for event in events {
-            self.take(event);
-        }
-        if self.set.slices > 0 {
-            if !self.told_of_slices {
-                out.push(Action::Log("slices are not supported: no orders are given".into()));
-            }
-            self.told_of_slices = true;
-            return;
+        events.iter().for_each(|event| self.take(event));
+        if self.set.slices == 0 {
+            self.ask(out);
+            let mut zones = std::mem::take(&mut self.zones);
+            zones.iter_mut().for_each(|(name, zone)| self.judge(name, zone));
+            if self.now >= self.next_round {
+                self.round(&mut zones);
+                self.next_round = self.after(ROUND_S.max(self.set.report_period.secs()));
+            }
+            self.reconcile(&mut zones, out);
+            self.zones = zones;
         }
-        self.ask(out);
-        self.probe(out);
-        self.judge();
-        if self.now >= self.next_round {
-            self.round();
-            self.next_round = self.after(ROUND_S.max(self.set.report_period.secs()));
-        }
-        self.reconcile(out);
         out.extend(self.notes.drain(..).map(Action::Log));
         if self.now >= self.next_tick {
             self.next_tick = self.after(TICK_S);
@@ -243,37 +252,27 @@
         Micros(self.now.0 + Micros::from_secs(secs).0)
     }
 
-    fn chance(&mut self) -> f64 {
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
-    }
-
-    // ---- 2. Fleet view --------------------------------------------------------------------
+    // ---- 2. Fleet view -----------------------------------------------------------------------------------
     fn take(&mut self, event: &Event) {
         match event {
             Event::List(kind, entries) => self.list(*kind, entries),
             Event::ListFailed => {
-                // A failed call or a broken subscription: ask again, less often each time, but
-                // inside the time after which the director counts as told anyway.
-                self.watching = false;
-                self.failures += 1;
+                // A failed call or a broken subscription: ask again, less often each time, but inside the
+                // time after which the director counts as told anyway. Directors spread by their seeds.
+                (self.random, self.failures) =
+                    (self.random.wrapping_mul(0x5851_F42D_4C95_7F2D) + 1, self.failures + 1);
+                let spread = 0.75 + 0.5 * (self.random >> 11) as f64 / (1u64 << 53) as f64;
                 let longest = (self.set.ask_within.secs() / 2.0).max(1.0);
-                let wait = (0.25 * 2f64.powi(self.failures.min(10) as i32)).min(longest);
-                let wait = wait * (0.75 + 0.5 * self.chance());
-                self.ask_at = self.after(wait);
+                let wait = spread * (0.25 * 2f64.powi(self.failures.min(10) as i32)).min(longest);
+                (self.watching, self.ask_at) = (false, self.after(wait));
                 self.notes.push(format!("list call failed, asking again in {wait:.1} s"));
             }
-            Event::Joined(proxy, zone, rate) => {
-                let (zone, rate) = (zone.clone(), rate.max(0.0));
-                let sent = VecDeque::new();
-                let usage = BTreeMap::new();
-                self.proxies.insert(*proxy, Proxy { zone, rate, bound: false, sent, usage });
-            }
-            Event::Left(proxy) => {
-                self.proxies.remove(proxy);
+            Event::Joined(id, zone, _) => {
+                self.know(zone);
+                let (sent, usage) = (VecDeque::new(), BTreeMap::new());
+                self.proxies.insert(*id, Proxy { zone: zone.clone(), bound: false, sent, usage });
             }
+            Event::Left(proxy) => drop(self.proxies.remove(proxy)),
             Event::Heard(zone, host, sums, mean, load) => {
                 self.heard(zone, host, *sums, *mean);
                 self.loaded(host, load);
@@ -290,83 +289,82 @@
         }
     }
 
+    /// Makes an owner of a zone, with a table for each group of classes.
+    fn know(&mut self, zone: &ZoneId) {
+        let first = (self.zones.len() * self.groups.len()) as u32;
+        let ids = (0..self.groups.len() as u32).map(|at| TableId(first + at));
+        let tables = || ids.map(|id| Table { id, ..Table::default() }).collect();
+        self.zones.entry(zone.clone()).or_insert_with(|| Zone { tables: tables(), ..Zone::default() });
+    }
+
     fn list(&mut self, kind: ListKind, entries: &[Entry]) {
         if kind != ListKind::Remembered {
             self.failures = 0;
         }
         if kind != ListKind::Changes {
-            for host in self.fleet.values_mut() {
-                if !entries.iter().any(|e| e.host == host.entry.host) {
-                    host.entry.readiness = Readiness::Gone;
-                }
-            }
+            let named: BTreeSet<&HostId> = entries.iter().map(|e| &e.host).collect();
+            let dropped = self.fleet.iter_mut().filter(|(id, _)| !named.contains(id));
+            dropped.for_each(|(_, host)| host.entry.readiness = Readiness::Gone);
         }
         let first = self.fleet.is_empty();
         for entry in entries {
-            let weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
             let known = self.fleet.get(&entry.host);
-            let restarted = known.is_some_and(|k| k.entry.started != entry.started);
-            let back = known.is_some_and(|k| k.entry.readiness == Readiness::Gone);
-            if entry.readiness != Readiness::Ready && known.is_some() {
-                self.notes.push(format!("{} is {:?}", entry.host.0, entry.readiness));
-            }
-            let kept = known.map(|k| k.weight).filter(|k| (k / weight - 1.0).abs() < 0.25);
-            let weight = kept.unwrap_or(weight);
-            let host = Host { entry: entry.clone(), weight, busy: None, probed_at: Micros(0) };
-            let is_new = known.is_none() && !first;
-            self.fleet.insert(entry.host.clone(), host);
-            if restarted || back || is_new {
-                // A new process shares nothing with the old one: what was heard of that is void.
-                // Slow start keeps it reduced; a quarter on top would starve a rolling deploy.
-                self.paths.retain(|(_, host), _| *host != entry.host);
-                self.notes.push(format!("{} has started", entry.host.0));
-            }
+            let (id, listed) = (&entry.host, if entry.weight > 0.0 { entry.weight } else { 1.0 });
+            let kept = known.map(|k| k.weight).filter(|k| (k / listed - 1.0).abs() < 0.25);
+            let same = known.map_or(first, |k| k.ready() && k.entry.started == entry.started);
+            let (busy, probed_at) = known.map_or((None, Micros(0)), |k| (k.busy, k.probed_at));
+            let host = Host { entry: entry.clone(), weight: kept.unwrap_or(listed), busy, probed_at };
+            if !host.ready() {
+                self.notes.push(format!("{} is {:?}", id.0, entry.readiness));
+            } else if !same {
+                // A new process shares nothing with the old one: what was heard of that is void. Slow
+                // start keeps it reduced; a quarter on top would starve a rolling deploy.
+                self.zones.values_mut().for_each(|zone| zone.paths.retain(|known, _| known != id));
+                self.notes.push(format!("{} has started", id.0));
+            }
+            self.fleet.insert(id.clone(), host);
         }
     }
 
+    /// Asks for the list, and for load where it is told in no other way.
     fn ask(&mut self, out: &mut Vec<Action>) {
-        if self.watching || self.now < self.ask_at {
-            return;
+        if !self.watching && self.now >= self.ask_at {
+            self.watching = true;
+            // Where changes are pushed, the remembered list may still be old: ask for it once.
+            out.push(if self.set.list_on_request { Action::Watch(true) } else { Action::FetchList });
         }
-        self.watching = true;
-        // Where changes are pushed, the remembered list may still be old: ask for it once.
-        out.push(if self.set.list_on_request { Action::Watch(true) } else { Action::FetchList });
-    }
-
-    /// Probes, where load is told in no other way: each ready host once a round.
-    fn probe(&mut self, out: &mut Vec<Action>) {
-        if !self.set.probing || self.set.load_reports != LoadReports::WithProbes {
-            return;
-        }
-        let ready = self.fleet.iter_mut().filter(|(_, h)| h.entry.readiness == Readiness::Ready);
-        for (id, host) in ready.filter(|(_, h)| self.now.since(h.probed_at) >= ROUND_S) {
-            host.probed_at = self.now;
-            out.push(Action::Probe(id.clone()));
+        if self.set.probing && self.set.load_reports == LoadReports::WithProbes {
+            let due = |h: &Host| h.ready() && self.now.since(h.probed_at) >= ROUND_S;
+            for (id, host) in self.fleet.iter_mut().filter(|(_, h)| due(h)) {
+                host.probed_at = self.now;
+                out.push(Action::Probe(id.clone()));
+            }
         }
     }
 
-    // ---- 3. Evidence ----------------------------------------------------------------------
+    // ---- 3. Evidence -------------------------------------------------------------------------------------
     fn heard(&mut self, zone: &ZoneId, host: &HostId, sums: Sums, mean: Micros) {
+        let (tries, lost) = (sums.total as f64, sums.lost.min(sums.total) as f64);
+        let Some(zone) = self.zones.get_mut(zone) else { return };
         if !self.fleet.contains_key(host) || sums.total == 0 {
             return;
         }
-        let lost = sums.lost.min(sums.total) as f64;
-        let good = sums.total as f64 - lost;
-        // Silence is measured against what the other hosts of the zone reported: sums that are
-        // late for all, or wait their turn, are silence of none.
-        let shares = self.shares(zone);
-        for (other, share) in shares.iter().filter(|(other, _)| other != host) {
-            let path = self.paths.entry((zone.clone(), other.clone())).or_default();
-            path.missed += sums.total as f64 * share;
-            path.turns += 1.0 / shares.len() as f64;
-        }
-        let path = self.paths.entry((zone.clone(), host.clone())).or_default();
-        path.sum.tries += sums.total as f64;
+        // Silence is measured against what the other hosts of the zone reported: sums that are late for all,
+        // or wait their turn, are silence of none.
+        let lines = &zone.tables[0].lines;
+        let all: f64 = lines.values().sum();
+        for (other, weight) in lines.iter().filter(|(other, _)| *other != host) {
+            let path = zone.paths.entry(other.clone()).or_default();
+            path.missed += tries * weight / all;
+            path.turns += 1.0 / lines.len() as f64;
+        }
+        let path = zone.paths.entry(host.clone()).or_default();
+        path.sum.tries += tries;
         path.sum.lost += lost;
-        path.sum.ms += good * mean.0 as f64 / 1e3;
+        path.sum.ms += (tries - lost) * mean.0 as f64 / 1e3;
         (path.missed, path.turns) = (0.0, 0.0);
         let fade = 0.5f64.powf(self.now.since(path.faded_at) / HALF_LIFE_S);
-        path.good = path.good * fade + good;
+        path.good = path.good * fade + tries - lost;
         path.bad = path.bad * fade + lost;
         path.faded_at = self.now;
     }
@@ -377,205 +375,166 @@
         }
     }
 
-    /// Shares of the zone's ordinary traffic by what was ordered.
-    fn shares(&self, zone: &ZoneId) -> Vec<(HostId, f64)> {
-        let Some(table) = self.tables.get(&(zone.clone(), 0)) else { return Vec::new() };
-        let sum: f64 = table.lines.values().sum();
-        table.lines.iter().map(|(host, weight)| (host.clone(), weight / sum)).collect()
+    fn tightest_aim_ms(&self) -> f64 {
+        self.set.classes.iter().map(|c| c.aim.secs() * 1e3).fold(f64::MAX, f64::min)
     }
 
-    // ---- 4. Ranking: the design -----------------------------------------------------------
-    fn round(&mut self) {
+    // ---- 4. Ranking: the design --------------------------------------------------------------------------
+    fn round(&mut self, zones: &mut Zones) {
         let mut whole: BTreeMap<HostId, Tally> = BTreeMap::new();
-        for ((_, host), Path { sum, .. }) in &self.paths {
-            let all = whole.entry(host.clone()).or_default();
+        for (id, Path { sum, .. }) in zones.values().flat_map(|zone| &zone.paths) {
+            let all = whole.entry(id.clone()).or_default();
             *all = Tally { tries: all.tries + sum.tries, lost: all.lost + sum.lost, ms: all.ms + sum.ms };
         }
         let heard = || whole.values().filter(|t| t.tries >= 3.0);
         let loss = median(heard().map(|t| t.lost / t.tries));
         let latency = median(heard().filter(|t| t.tries > t.lost).map(|t| t.ms / (t.tries - t.lost)));
-        let mut fresh: BTreeSet<(ZoneId, HostId)> = BTreeSet::new();
-        for (key, path) in &mut self.paths {
-            let (all, own) = (whole[&key.1], path.sum);
-            // A seldom-heard host must not confirm noise: too few tries make no figure, and a
-            // zone that heard little of its own leans on what the other zones heard.
-            if all.tries < ENOUGH {
-                continue;
-            }
-            let loss = (own.lost + PRIOR * all.lost / all.tries) / (own.tries + PRIOR);
-            path.loss += 0.5 * (loss - path.loss);
-            if all.tries > all.lost {
-                let mean = all.ms / (all.tries - all.lost);
-                let latency = (own.ms + PRIOR * mean) / (own.tries - own.lost + PRIOR);
-                path.latency = Some(path.latency.map_or(latency, |known| known + 0.5 * (latency - known)));
+        for (name, zone) in zones.iter_mut() {
+            let mut fresh: BTreeSet<HostId> = BTreeSet::new();
+            for (id, path) in &mut zone.paths {
+                let (all, own) = (whole[id], path.sum);
+                // A seldom-heard host must not confirm noise: too few tries make no figure, and a zone that
+                // heard little of its own leans on what the other zones heard.
+                if all.tries < ENOUGH {
+                    continue;
+                }
+                let loss = (own.lost + PRIOR * all.lost / all.tries) / (own.tries + PRIOR);
+                path.loss += 0.5 * (loss - path.loss);
+                if all.tries > all.lost {
+                    let mean = all.ms / (all.tries - all.lost);
+                    let latency = (own.ms + PRIOR * mean) / (own.tries - own.lost + PRIOR);
+                    path.latency = Some(path.latency.map_or(latency, |known| (known + latency) / 2.0));
+                }
+                path.score = path.latency.map(|ms| ms + LOSS_MS * 100.0 * path.loss);
+                path.sum = Tally::default();
+                fresh.insert(id.clone());
             }
-            path.score = path.latency.map(|ms| ms + LOSS_MS * 100.0 * path.loss);
-            path.sum = Tally::default();
-            fresh.insert(key.clone());
+            self.rank(name, zone, &fresh);
         }
-        for zone in self.set.zones.clone() {
-            self.rank(&zone, &fresh);
-        }
-        self.levels(loss.unwrap_or(0.0), latency.unwrap_or(0.0));
+        self.levels(zones, loss.unwrap_or(0.0), latency);
     }
 
     /// Moves hosts of one owner in and out of its leading group.
-    fn rank(&mut self, zone: &ZoneId, fresh: &BTreeSet<(ZoneId, HostId)>) {
-        // If all exits fail the order stays (design page): losses that most hosts share say nothing
-        // of any one of them, and fewer hosts would only make an overload worse.
+    fn rank(&mut self, name: &ZoneId, zone: &mut Zone, fresh: &BTreeSet<HostId>) {
+        // If all exits fail the order stays (design page): losses that most hosts share say nothing of any one
+        // of them, and fewer hosts would only make an overload worse.
         if self.usual_loss(zone) >= COMMON_LOSS {
             return;
         }
         let mut scored: Vec<(f64, f64)> = Vec::new();
-        for (id, host) in &self.fleet {
-            let path = self.paths.get(&(zone.clone(), id.clone()));
-            let score = path.filter(|p| p.state == Health::In).and_then(|p| p.score);
-            if let Some(score) = score.filter(|_| host.entry.readiness == Readiness::Ready) {
-                scored.push((score, host.weight));
-            }
+        for (id, host) in self.fleet.iter().filter(|(_, h)| h.ready()) {
+            let path = zone.paths.get(id).filter(|p| p.state == Health::In);
+            scored.extend(path.and_then(|p| Some((p.score?, host.weight))));
         }
         scored.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let total: f64 = scored.iter().map(|s| s.1).sum();
-        let mut held = 0.0;
+        let mut left = GROUP_SHARE * scored.iter().map(|s| s.1).sum::<f64>();
         let lead = scored.iter().find(|s| {
-            held += s.1;
-            held >= GROUP_SHARE * total
+            left -= s.1;
+            left <= 0.0
         });
         let Some(lead) = lead.map(|s| s.0) else { return };
+        let cooled = zone.moved_at.is_none_or(|at| self.now.since(at) >= COOLDOWN_S);
         let aim = self.tightest_aim_ms();
-        let since = self.moved_at.get(zone).map_or(f64::MAX, |at| self.now.since(*at));
-        let mut moved = false;
-        for (key, path) in self.paths.range_mut((zone.clone(), HostId("".into()))..) {
-            if key.0 != *zone {
-                break;
-            }
-            if !fresh.contains(key) || path.state != Health::In {
-                continue;
-            }
+        for (id, path) in zone.paths.iter_mut().filter(|(id, p)| fresh.contains(id) && p.state == Health::In)
+        {
             let Some(score) = path.score else { continue };
             let margin = MARGIN_MS.max(MARGIN_SHARE * score).max(AIM_MARGIN * aim);
             let lags = score >= lead + margin && path.step < LOWEST_STEP;
             let leads = score <= lead + margin / 2.0 && path.step > 0;
             path.confirmed = if lags || leads { path.confirmed + 1 } else { 0 };
-            if path.confirmed >= CONFIRM && since >= COOLDOWN_S {
+            if path.confirmed >= CONFIRM && cooled {
                 path.step = if lags { path.step + 1 } else { path.step - 1 };
                 path.confirmed = 0;
-                moved = true;
-                let to = 0.5f64.powi(path.step as i32);
-                let what = format!("{} from {}: score {score:.0}", key.1 .0, zone.0);
-                self.notes.push(format!("{what} against {lead:.0}, weight x {to}"));
+                zone.moved_at = Some(self.now);
+                let what = format!("{} from {}: score {score:.0} against {lead:.0}", id.0, name.0);
+                self.notes.push(format!("{what}, weight / {}", 1 << path.step));
             }
         }
-        if moved {
-            self.moved_at.insert(zone.clone(), self.now);
-        }
     }
 
-    // ---- 5. Health ------------------------------------------------------------------------
-    /// The fast path: takes out what loses or swallows its requests, zone by zone, and tries it
-    /// again after a while.
-    fn judge(&mut self) {
-        let now = self.now;
-        for zone in self.set.zones.clone() {
-            let open = |host: &Host| host.entry.readiness == Readiness::Ready;
-            let usual = self.usual_loss(&zone);
-            let mut staying = 0.0;
-            let mut total = 0.0;
-            let mut suspects: Vec<HostId> = Vec::new();
-            for (id, host) in self.fleet.iter().filter(|(_, host)| open(host)) {
-                total += host.weight;
-                let path = self.paths.entry((zone.clone(), id.clone())).or_default();
-                let lossy = path.bad >= OUT_LOST
-                    && path.bad / (path.good + path.bad) >= OUT_SHARE.max(usual + OUT_ABOVE);
-                let silent = path.missed >= SILENT_TRIES && path.turns >= SILENT_TURNS && usual < COMMON_LOSS;
-                match path.state {
-                    Health::In if lossy || silent => suspects.push(id.clone()),
-                    Health::In => staying += host.weight,
-                    Health::Out { until } if now >= until => {
-                        let until = Micros::from_secs(now.secs() + 8.0);
-                        path.state = Health::Trial { until };
-                        (path.good, path.bad, path.missed, path.turns) = (0.0, 0.0, 0.0, 0.0);
-                    }
-                    Health::Trial { .. } if path.bad >= 2.0 && path.bad > path.good => {
-                        path.stay_s = (2.0 * path.stay_s).min(OUT_LONGEST_S);
-                        let until = Micros::from_secs(now.secs() + path.stay_s);
-                        path.state = Health::Out { until };
-                    }
-                    Health::Trial { until } if path.good >= 2.0 || now >= until => {
-                        path.state = Health::In;
-                        path.step = LOWEST_STEP;
-                        (path.score, path.latency, path.loss) = (None, None, 0.0);
-                        self.notes.push(format!("{} is back for {}", id.0, zone.0));
-                    }
-                    _ => {}
+    // ---- 5. Health ---------------------------------------------------------------------------------------
+    /// The fast path: takes out what loses or swallows its requests, zone by zone (a zone that is cut off must
+    /// not withdraw a host for all), and tries it again after a while.
+    fn judge(&mut self, name: &ZoneId, zone: &mut Zone) {
+        let usual = self.usual_loss(zone);
+        let (mut staying, mut total) = (0.0, 0.0);
+        let mut suspects: Vec<HostId> = Vec::new();
+        for (id, host) in self.fleet.iter().filter(|(_, host)| host.ready()) {
+            let path = zone.paths.entry(id.clone()).or_default();
+            let lossy =
+                path.bad >= OUT_LOST && path.bad / (path.good + path.bad) >= OUT_SHARE.max(usual + OUT_ABOVE);
+            let silent = path.missed >= SILENT_TRIES && path.turns >= SILENT_TURNS && usual < COMMON_LOSS;
+            total += host.weight;
+            match path.state {
+                Health::In if lossy || silent => suspects.push(id.clone()),
+                Health::In => staying += host.weight,
+                Health::Out(until) if self.now >= until => {
+                    path.state = Health::Trial(self.after(TRIAL_S));
+                    (path.good, path.bad, path.missed, path.turns) = (0.0, 0.0, 0.0, 0.0);
                 }
+                Health::Trial(_) if path.bad >= 2.0 && path.bad > path.good => {
+                    path.stay_s = (2.0 * path.stay_s).min(OUT_LONGEST_S);
+                    path.state = Health::Out(self.after(path.stay_s));
+                }
+                Health::Trial(until) if path.good >= 2.0 || self.now >= until => {
+                    *path = Path { step: LOWEST_STEP, ..Path::default() };
+                    self.notes.push(format!("{} is back for {}", id.0, name.0));
+                }
+                _ => {}
             }
-            // Panic threshold: if nearly all look bad at once, the observer, its own zone or an
-            // overload is the likelier cause; the tables stay as they are.
-            if staying < PANIC_SHARE * total {
-                continue;
-            }
-            for id in suspects {
-                let path = self.paths.entry((zone.clone(), id.clone())).or_default();
-                path.stay_s = OUT_S;
-                path.state = Health::Out { until: Micros::from_secs(now.secs() + OUT_S) };
-                let (bad, good) = (path.bad, path.good);
-                self.notes.push(format!(
-                    "{} out for {}: {bad:.0} lost, {good:.0} good, {:.0} missed",
-                    id.0, zone.0, path.missed
-                ));
-                (path.missed, path.turns) = (0.0, 0.0);
-            }
+        }
+        // Panic threshold: if nearly all look bad at once, the observer, its own zone or an overload is the
+        // likelier cause; the tables stay as they are.
+        if staying < PANIC_SHARE * total {
+            return;
+        }
+        for id in suspects {
+            let Some(path) = zone.paths.get_mut(&id) else { continue };
+            path.stay_s = OUT_S;
+            path.state = Health::Out(self.after(OUT_S));
+            let why = format!("{:.0} lost, {:.0} good, {:.0} missed", path.bad, path.good, path.missed);
+            self.notes.push(format!("{} out for {}: {why}", id.0, name.0));
         }
     }
 
     /// The median loss of a zone's hosts: an outlier must stand out against it.
-    fn usual_loss(&self, zone: &ZoneId) -> f64 {
-        let mine = self.paths.iter().filter(|(key, _)| key.0 == *zone && self.is_ready(&key.1));
-        let heard = mine.filter(|(_, p)| p.state == Health::In && p.good + p.bad >= 2.0);
+    fn usual_loss(&self, zone: &Zone) -> f64 {
+        let ready = zone.paths.iter().filter(|(id, _)| self.fleet.get(id).is_some_and(Host::ready));
+        let heard = ready.filter(|(_, p)| p.state == Health::In && p.good + p.bad >= 2.0);
         median(heard.map(|(_, p)| p.bad / (p.good + p.bad))).unwrap_or(0.0)
     }
 
-    fn is_ready(&self, host: &HostId) -> bool {
-        self.fleet.get(host).is_some_and(|h| h.entry.readiness == Readiness::Ready)
-    }
-
-    // ---- 6. Return ------------------------------------------------------------------------
-    /// Share of its capacity that a host surely has by now: it rises at least evenly.
+    // ---- 6. Return ---------------------------------------------------------------------------------------
+    /// Share of its capacity that a host surely has by now: it rises at least evenly. In eighths, so that a
+    /// ramp does not cost a message a tick.
     fn warmth(&self, host: &Host) -> f64 {
-        let Some(started) = host.entry.started else { return 1.0 };
         let start = self.set.start_capacity;
-        let age = self.now.since(started) / self.set.cold.secs().max(0.001);
-        let warmth = (start + (1.0 - start) * age).min(1.0);
-        // In eighths, so that a ramp does not cost a message a tick.
-        if warmth >= 1.0 {
-            1.0
-        } else {
-            ((warmth * 8.0).floor() / 8.0).max(start.min(0.125))
+        let age =
+            host.entry.started.map_or(f64::MAX, |at| self.now.since(at)) / self.set.cold.secs().max(1e-3);
+        if age >= 1.0 {
+            return 1.0;
         }
+        ((start + (1.0 - start) * age) * 8.0).floor().max(1.0) / 8.0
     }
 
-    // ---- 7. Levels and further tries ------------------------------------------------------
-    /// Lets less in while the hosts cannot do it all. Demand is the cores' busy share times the
-    /// capacity that was open, over the share let in when it was measured; so a drain or a cold
-    /// start shows at once, and a cut is not repeated before it can be seen.
-    fn levels(&mut self, loss: f64, latency: f64) {
+    // ---- 7. Levels and further tries ---------------------------------------------------------------------
+    /// Lets less in while the hosts cannot do it all. Demand is the cores' busy share (or the wait that goes
+    /// with it) times the capacity that is open, over the share let in when it was measured; so a drain or a
+    /// cold start shows at once, and a cut is not repeated before it can be seen.
+    fn levels(&mut self, zones: &Zones, loss: f64, latency: Option<f64>) {
         let (mut capacity, mut seen, mut used) = (0.0, 0.0, 0.0);
-        for (id, host) in self.fleet.iter().filter(|(_, h)| h.entry.readiness == Readiness::Ready) {
-            let states = self.set.zones.iter().filter_map(|z| self.paths.get(&(z.clone(), id.clone())));
-            if states.clone().count() > 0 && states.clone().all(|p| p.state != Health::In) {
-                continue;
-            }
+        let taken = |id| zones.values().any(|z| z.paths.get(id).is_some_and(|p| p.state == Health::In));
+        for (_, host) in self.fleet.iter().filter(|(id, h)| h.ready() && taken(id)) {
             let open = host.weight * self.warmth(host);
             capacity += open;
             if let Some(busy) = host.busy {
                 (seen, used) = (seen + open, used + open * busy);
             }
         }
-        if latency > 0.0 && (self.unloaded_ms == 0.0 || latency < self.unloaded_ms) {
-            self.unloaded_ms = latency;
-        }
-        let wait = (latency - self.unloaded_ms) / self.tightest_aim_ms();
+        let Some(latency) = latency.filter(|_| capacity > 0.0) else { return };
+        let unloaded = self.unloaded_ms.map_or(latency, |known| known.min(latency));
+        self.unloaded_ms = Some(unloaded);
+        let wait = (latency - unloaded) / self.tightest_aim_ms();
         let busy = if seen > 0.0 { used / seen } else { 0.0 };
         let load = busy.max(BUSY_AIM + wait - WAIT_AIM);
         self.strained = load >= BUSY_MOST || loss >= COMMON_LOSS;
@@ -586,8 +545,7 @@
         let was = self.let_in.front().map_or(1.0, |l| l.1);
         // Saturated cores don't tell how much more was asked of them; losses do, roughly.
         let hidden = if load >= BUSY_MOST { 1.0 + loss.min(0.5) } else { 1.0 };
-        let demand = load * hidden * capacity / was;
-        self.demand += 0.5 * (demand - self.demand);
+        self.demand += 0.5 * (load * hidden * capacity / was - self.demand);
         let share = BUSY_AIM * capacity / self.demand.max(1e-9);
         let share = if share >= 0.9 { 1.0 } else { (share * 20.0).round().max(1.0) / 20.0 };
         if share != self.admitted {
@@ -598,18 +556,12 @@
         self.let_in.push_back((self.now, share));
     }
 
-    fn tightest_aim_ms(&self) -> f64 {
-        self.set.classes.iter().map(|c| c.aim.secs() * 1e3).fold(f64::MAX, f64::min)
-    }
-
-    /// The share of a class that is let in. What is worth least for its work goes first; a class's
-    /// aim stands for the work of a request, which is not told.
+    /// The share of a class that is let in. What is worth least for its work goes first; a class's aim stands
+    /// for the work of a request, which is not told.
     fn share(&self, class: usize) -> f64 {
         let worth = |at: usize| self.set.classes[at].worth / self.set.classes[at].aim.secs();
-        let work = |at: usize| {
-            let rates = self.proxies.values().filter_map(|p| p.usage.get(&ClassId(at)));
-            rates.sum::<f64>() * self.set.classes[at].aim.secs()
-        };
+        let rates = |at: usize| self.proxies.values().filter_map(move |p| p.usage.get(&ClassId(at)));
+        let work = |at: usize| rates(at).sum::<f64>() * self.set.classes[at].aim.secs();
         let all = 0..self.set.classes.len();
         let total: f64 = all.clone().map(work).sum();
         let before: f64 = all.filter(|at| worth(*at) > worth(class)).map(work).sum();
@@ -621,8 +573,8 @@
 
     /// The level and way of trying again of a class in a zone's table.
     fn level(&self, zone: &ZoneId, class: usize) -> (f64, Retry) {
-        // Proof that a try never ran makes a repeat safe for every class; only a class that is
-        // safe to repeat may go again after any failure, and not while hosts are strained.
+        // Proof that a try never ran makes a repeat safe for every class; only a class that is safe to repeat
+        // may go again after any failure, and not while hosts are strained.
         let idempotent = self.set.classes[class].effect == Effect::Idempotent;
         let retry = if idempotent && !self.strained { Retry::Once } else { Retry::OnProof };
         let share = self.share(class);
@@ -637,8 +589,8 @@
 
     /// The rate at each proxy of the zone that lets `share` of the class in.
     fn cap(&self, zone: &ZoneId, class: ClassId, share: f64) -> f64 {
-        let proxies = self.proxies.values().filter(|p| p.zone == *zone);
-        let mut rates: Vec<f64> = proxies.map(|p| p.usage.get(&class).copied().unwrap_or(0.0)).collect();
+        let mine = self.proxies.values().filter(|p| p.zone == *zone);
+        let mut rates: Vec<f64> = mine.map(|p| p.usage.get(&class).copied().unwrap_or(0.0)).collect();
         rates.sort_by(f64::total_cmp);
         let mut left = share * rates.iter().sum::<f64>();
         for (at, rate) in rates.iter().enumerate() {
@@ -651,59 +603,36 @@
         NO_LIMIT
     }
 
-    // ---- 8. Reconcile ---------------------------------------------------------------------
-    fn may_go(group: &Group, zone: &ZoneId, entry: &Entry) -> bool {
-        (!group.own_zone || entry.zone == *zone)
-            && (group.zones.is_empty() || group.zones.contains(&entry.zone))
-            && (group.kinds.is_empty() || group.kinds.contains(&entry.kind))
-    }
-
-    /// The table that a zone's proxies should hold for a group of classes.
-    fn plan(&self, zone: &ZoneId, group: usize) -> (BTreeMap<HostId, f64>, f64) {
-        let group_of = &self.groups[group];
-        let local = |entry: &Entry| {
-            let near = entry.zone == *zone || self.set.cross_zone_price <= 0.0;
-            if near {
-                1.0
-            } else {
-                REMOTE
-            }
-        };
-        let mut lines: BTreeMap<HostId, f64> = BTreeMap::new();
-        let mut fallback: BTreeMap<HostId, f64> = BTreeMap::new();
-        let mut cold: Vec<(HostId, f64, f64)> = Vec::new();
-        let mut full = 0.0;
-        for (id, host) in &self.fleet {
-            let ready = host.entry.readiness == Readiness::Ready;
-            if !ready || !Self::may_go(group_of, zone, &host.entry) {
-                continue;
-            }
-            let base = host.weight * local(&host.entry);
-            full += base;
+    // ---- 8. Reconcile ------------------------------------------------------------------------------------
+    /// The lines that a zone's proxies should hold for a group of classes, and the scale of a usual day.
+    fn plan(&self, name: &ZoneId, zone: &Zone, group: usize) -> (BTreeMap<HostId, f64>, f64) {
+        let (mut lines, mut fallback) = (BTreeMap::new(), BTreeMap::new());
+        let (mut cold, mut full) = (Vec::new(), 0.0);
+        let open = |h: &Host| h.ready() && self.groups[group].may_go(name, &h.entry);
+        for (id, host) in self.fleet.iter().filter(|(_, h)| open(h)) {
+            let near = host.entry.zone == *name || self.set.cross_zone_price <= 0.0;
+            let base = host.weight * if near { 1.0 } else { REMOTE };
             let warmth = self.warmth(host);
-            let path = self.paths.get(&(zone.clone(), id.clone()));
-            let step = 0.5f64.powi(path.map_or(0, |p| p.step) as i32);
+            let path = zone.paths.get(id);
             let factor = match path.map_or(Health::In, |p| p.state) {
-                Health::In => step.min(warmth),
-                Health::Trial { .. } => TRIAL.min(warmth),
-                Health::Out { .. } => 0.0,
+                Health::In => 0.5f64.powi(path.map_or(0, |p| p.step) as i32),
+                Health::Trial(_) => TRIAL,
+                Health::Out(_) => 0.0,
             };
+            full += base;
             fallback.insert(id.clone(), base * warmth);
             if factor > 0.0 {
-                lines.insert(id.clone(), base * factor);
-            }
-            if warmth < 1.0 && factor > 0.0 {
-                cold.push((id.clone(), base, warmth));
+                lines.insert(id.clone(), base * factor.min(warmth));
+                cold.extend((warmth < 1.0).then(|| (id.clone(), base, warmth)));
             }
         }
-        // Never empty: whatever was judged above, a host that the list shows as ready stays.
+        // Never empty: whatever was judged above, a warm host that the list shows as ready stays.
         let warm = |id: &HostId| self.warmth(&self.fleet[id]) >= 1.0;
-        let warm_line = lines.keys().any(warm);
-        if lines.is_empty() || (!warm_line && fallback.keys().any(warm)) {
+        let full = full.max(zone.tables[group].full);
+        if !lines.keys().any(warm) && (lines.is_empty() || fallback.keys().any(warm)) {
             return (fallback, full);
         }
         // Few hosts left: what the others no longer carry must not push a cold host over.
-        let full = full.max(self.tables.get(&(zone.clone(), group)).map_or(0.0, |t| t.full));
         let rest: f64 = lines.iter().filter(|(id, _)| warm(id)).map(|(_, w)| w).sum();
         for (id, base, warmth) in cold {
             let budget = self.set.overload_factor * warmth * COLD_USE / ASSUMED_LOAD;
@@ -716,34 +645,29 @@
         (lines, full)
     }
 
-    fn reconcile(&mut self, out: &mut Vec<Action>) {
+    fn reconcile(&mut self, zones: &mut Zones, out: &mut Vec<Action>) {
         let pace = CHANNEL_PACE * self.set.lines_per_s;
         self.queued = (self.queued - pace * self.now.since(self.queued_at)).max(0.0);
         self.queued_at = self.now;
-        let mut zones = self.set.zones.clone();
-        zones.extend(self.proxies.values().map(|p| p.zone.clone()));
-        zones.sort();
-        zones.dedup();
         let mut touched: BTreeMap<ProxyId, f64> = BTreeMap::new();
-        for zone in &zones {
+        for (name, zone) in zones.iter_mut() {
             for group in 0..self.groups.len() {
-                self.update(zone, group, &mut touched, out);
+                self.update(name, zone, group, &mut touched, out);
             }
         }
-        self.bind(&mut touched, out);
+        self.bind(zones, &mut touched, out);
         for (id, lines) in touched {
             self.queued += lines + self.set.message_overhead;
-            if let Some(proxy) = self.proxies.get_mut(&id) {
-                proxy.sent.push_back(self.now);
-                while proxy.sent.len() > self.set.messages_max as usize {
-                    proxy.sent.pop_front();
-                }
+            let Some(proxy) = self.proxies.get_mut(&id) else { continue };
+            proxy.sent.push_back(self.now);
+            while proxy.sent.len() > self.set.messages_max as usize {
+                proxy.sent.pop_front();
             }
         }
     }
 
-    /// Whether `lines` more to these proxies may go now. Urgent orders may use more of the
-    /// channel, so that ordinary ones always leave room for a mass rejoin or a drain.
+    /// Whether `lines` more to a zone's proxies may go now. Urgent orders may use more of the channel, so that
+    /// ordinary ones always leave room for a mass rejoin or a drain.
     fn room(&self, urgency: Urgency, lines: f64, zone: &ZoneId) -> bool {
         let (queue, messages) = match urgency {
             Urgency::Drain => (0.9, 1.0),
@@ -751,102 +675,86 @@
             Urgency::Health => (0.5, 0.7),
             Urgency::Ordinary => (0.25, 0.4),
         };
-        let most = self.set.messages_max as f64;
-        let over = self.set.messages_over.secs();
-        let recent = |p: &Proxy| p.sent.iter().filter(|at| self.now.since(**at) <= over).count();
-        let mut proxies = self.proxies.values().filter(|p| p.zone == *zone && p.bound);
-        let free = most == 0.0 || proxies.all(|p| recent(p) as f64 + 1.0 <= messages * most);
-        free && self.queued + lines <= queue * self.set.queue_max
+        let most = messages * self.set.messages_max as f64;
+        let recent = |at: &&Micros| self.now.since(**at) <= self.set.messages_over.secs();
+        let free = |p: &Proxy| most == 0.0 || p.sent.iter().filter(recent).count() as f64 + 1.0 <= most;
+        self.proxies.values().filter(|p| p.zone == *zone && p.bound).all(free)
+            && self.queued + lines <= queue * self.set.queue_max
     }
 
+    /// Sends a table's differences, if the most urgent of them may go now.
     fn update(
         &mut self,
-        zone: &ZoneId,
+        name: &ZoneId,
+        zone: &mut Zone,
         group: usize,
         touched: &mut BTreeMap<ProxyId, f64>,
         out: &mut Vec<Action>,
     ) {
-        let (plan, full) = self.plan(zone, group);
-        let id = TableId(self.tables.len() as u32);
-        let key = (zone.clone(), group);
-        let new = Table { id, lines: BTreeMap::new(), levels: BTreeMap::new(), full };
-        let table = self.tables.entry(key.clone()).or_insert(new).clone();
-        let mut changes: Vec<(HostId, f64)> = Vec::new();
+        let (plan, full) = self.plan(name, zone, group);
+        let table = &mut zone.tables[group];
+        table.full = full;
         let mut urgency = Urgency::Ordinary;
-        for (host, weight) in &plan {
-            let ordered = table.lines.get(host).copied().unwrap_or(0.0);
+        let mut changes: Vec<(HostId, f64)> = Vec::new();
+        for (id, weight) in &plan {
+            let ordered = table.lines.get(id).copied().unwrap_or(0.0);
             if (weight / ordered - 1.0).abs() > 0.02 {
-                let cold = self.warmth(&self.fleet[host]) < 1.0;
-                if ordered > 0.0 && *weight < ordered && cold {
+                // A cold host must lose its old share at once: its budget runs from its start.
+                if ordered > *weight && self.warmth(&self.fleet[id]) < 1.0 {
                     urgency = urgency.min(Urgency::Health);
                 }
-                changes.push((host.clone(), *weight));
+                changes.push((id.clone(), *weight));
             }
         }
-        for host in table.lines.keys().filter(|host| !plan.contains_key(host)) {
-            let leaves = !self.is_ready(host);
+        for id in table.lines.keys().filter(|id| !plan.contains_key(id)) {
+            let leaves = !self.fleet[id].ready();
             urgency = urgency.min(if leaves { Urgency::Drain } else { Urgency::Health });
-            changes.push((host.clone(), 0.0));
-        }
-        let mut levels: Vec<(ClassId, (f64, Retry))> = Vec::new();
-        for class in 0..self.set.classes.len() {
-            let level = self.level(zone, class);
-            if self.groups[group].mask >> class & 1 == 1 && table.levels.get(&ClassId(class)) != Some(&level)
-            {
-                levels.push((ClassId(class), level));
-            }
-        }
-        let mine = |p: &&Proxy| p.bound && p.zone == *zone;
-        let users = self.proxies.values().filter(mine).count() as f64;
+            changes.push((id.clone(), 0.0));
+        }
+        let own = (0..self.set.classes.len()).filter(|at| self.groups[group].mask >> at & 1 == 1);
+        let mut levels: Vec<(ClassId, (f64, Retry))> =
+            own.map(|at| (ClassId(at), self.level(name, at))).collect();
+        levels.retain(|(class, level)| table.levels.get(class) != Some(level));
+        let users: Vec<ProxyId> =
+            self.proxies.iter().filter(|(_, p)| p.bound && p.zone == *name).map(|(id, _)| *id).collect();
         let count = (changes.len() + levels.len()) as f64;
-        let lines = users * (count + self.set.message_overhead);
-        if count == 0.0 || (users > 0.0 && !self.room(urgency, lines, zone)) {
+        let lines = users.len() as f64 * (count + self.set.message_overhead);
+        if count == 0.0 || (lines > 0.0 && !self.room(urgency, lines, name)) {
             return;
         }
-        let table = self.tables.get_mut(&key).expect("made above");
-        table.full = table.full.max(full);
-        for (host, weight) in changes {
-            out.push(Action::SetLine(table.id, host.clone(), weight));
+        for (id, weight) in changes {
+            out.push(Action::SetLine(table.id, id.clone(), weight));
             match weight > 0.0 {
-                true => table.lines.insert(host, weight),
-                false => table.lines.remove(&host),
+                true => table.lines.insert(id, weight),
+                false => table.lines.remove(&id),
             };
         }
         for (class, level) in levels {
-            let mask = ClassMask(1 << class.0);
-            out.push(Action::Admit(Some(table.id), mask, level.0, level.1));
+            out.push(Action::Admit(Some(table.id), ClassMask(1 << class.0), level.0, level.1));
             table.levels.insert(class, level);
         }
-        for (proxy, _) in self.proxies.iter().filter(|(_, p)| mine(p)) {
-            *touched.entry(*proxy).or_default() += count;
-        }
+        users.iter().for_each(|id| *touched.entry(*id).or_default() += count);
     }
 
     /// Binds proxies that have joined, once, as soon as the channel has room.
-    fn bind(&mut self, touched: &mut BTreeMap<ProxyId, f64>, out: &mut Vec<Action>) {
-        let waiting: Vec<ProxyId> =
-            self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, _)| *id).collect();
-        let mut pending: f64 = touched.values().map(|l| l + self.set.message_overhead).sum();
-        for id in waiting {
-            let zone = self.proxies[&id].zone.clone();
-            let tables: Vec<(usize, Table)> = (0..self.groups.len())
-                .filter_map(|g| Some((g, self.tables.get(&(zone.clone(), g))?.clone())))
-                .filter(|(_, table)| !table.lines.is_empty())
-                .collect();
-            let lines: usize = tables.iter().map(|(_, t)| 1 + t.lines.len() + t.levels.len()).sum();
+    fn bind(&mut self, zones: &Zones, touched: &mut BTreeMap<ProxyId, f64>, out: &mut Vec<Action>) {
+        let mut pending: f64 = touched.values().map(|lines| lines + self.set.message_overhead).sum();
+        let waiting = self.proxies.iter().filter(|(_, p)| !p.bound);
+        for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let name = self.proxies[&id].zone.clone();
+            let filled = || zones[&name].tables.iter().enumerate().filter(|(_, t)| !t.lines.is_empty());
+            let lines: usize = filled().map(|(_, t)| 1 + t.lines.len() + t.levels.len()).sum();
             let cost = lines as f64 + self.set.message_overhead;
-            if tables.is_empty() || !self.room(Urgency::Bind, pending + cost, &zone) {
+            if lines == 0 || !self.room(Urgency::Bind, pending + cost, &name) {
                 continue;
             }
             pending += cost;
-            for (group, table) in &tables {
-                let mask = if self.groups.len() == 1 { 0 } else { self.groups[*group].mask };
+            for (group, table) in filled() {
+                let mask = if self.groups.len() == 1 { 0 } else { self.groups[group].mask };
                 out.push(Action::Bind(id, table.id, ClassMask(mask)));
             }
             *touched.entry(id).or_default() += lines as f64;
-            if let Some(proxy) = self.proxies.get_mut(&id) {
-                proxy.bound = true;
-            }
+            self.proxies.entry(id).and_modify(|p| p.bound = true);
         }
     }
 }
