Keep cold hosts waiting under strain; a floor for levels, and no stale load

Also covers any newcomer in a fleet where losses are common; harm: capacity that comes back waits up to the cold time while strain lasts, so not where warm hosts hold under two fifths of the weight.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -49,12 +49,16 @@
 /// Use of a cold host's budget, and the fleet's load that is assumed where it is not known.
 const COLD_USE: f64 = 0.5;
 const ASSUMED_LOAD: f64 = 0.75;
+/// Share of the usual weight that warm hosts must hold for cold ones to be left out under strain.
+const WARM_ENOUGH: f64 = 0.4;
 /// Busy share of the cores that levels aim at, and where strain begins; the wait of an answer, as a share
 /// of the tightest aim, that goes with the former; least of a class that is always let in.
 const BUSY_AIM: f64 = 0.8;
 const BUSY_MOST: f64 = 0.92;
 const WAIT_AIM: f64 = 0.2;
 const LEAST_LEVEL: f64 = 0.05;
+/// Least of all work that is let in: queues that still drain must not read as ever more demand.
+const LEAST_ADMITTED: f64 = 0.3;
 /// A level that lets everything in where levels are rates.
 const NO_LIMIT: f64 = 1e6;
 /// The channel is taken to run at this share of its usual pace: slow days are not announced.
@@ -68,8 +72,8 @@
     entry: Entry,
     /// Listed weight that tables use; follows the list only on a real change.
     weight: f64,
-    /// Busy share of its cores, as last reported.
-    busy: Option<f64>,
+    /// Busy share of its cores, as last reported, and when.
+    busy: Option<(f64, Micros)>,
     probed_at: Micros,
 }
 
@@ -371,7 +375,7 @@
 
     fn loaded(&mut self, host: &HostId, load: &Load) {
         if let (Some(host), Some(busy)) = (self.fleet.get_mut(host), load.busy) {
-            host.busy = Some(host.busy.map_or(busy, |known| known + 0.5 * (busy - known)));
+            host.busy = Some((host.busy.map_or(busy, |(known, _)| (known + busy) / 2.0), self.now));
         }
     }
 
@@ -527,7 +531,9 @@
         for (_, host) in self.fleet.iter().filter(|(id, h)| h.ready() && taken(id)) {
             let open = host.weight * self.warmth(host);
             capacity += open;
-            if let Some(busy) = host.busy {
+            // A host that gets nothing reports nothing: its last word must not hold a level down.
+            let fresh = |at: Micros| self.now.since(at) <= 2.0 * ROUND_S.max(self.set.report_period.secs());
+            if let Some((busy, _)) = host.busy.filter(|b| fresh(b.1)) {
                 (seen, used) = (seen + open, used + open * busy);
             }
         }
@@ -547,7 +553,7 @@
         let hidden = if load >= BUSY_MOST { 1.0 + loss.min(0.5) } else { 1.0 };
         self.demand += 0.5 * (load * hidden * capacity / was - self.demand);
         let share = BUSY_AIM * capacity / self.demand.max(1e-9);
-        let share = if share >= 0.9 { 1.0 } else { (share * 20.0).round().max(1.0) / 20.0 };
+        let share = if share >= 0.9 { 1.0 } else { ((share * 20.0).round() / 20.0).max(LEAST_ADMITTED) };
         if share != self.admitted {
             let why = format!("loss {loss:.2}, busy {busy:.2}, {latency:.0} ms");
             self.notes.push(format!("lets in {share:.2} of the work: {why}"));
@@ -632,13 +638,18 @@
         if !lines.keys().any(warm) && (lines.is_empty() || fallback.keys().any(warm)) {
             return (fallback, full);
         }
-        // Few hosts left: what the others no longer carry must not push a cold host over.
         let rest: f64 = lines.iter().filter(|(id, _)| warm(id)).map(|(_, w)| w).sum();
+        // Cold hosts wait while the fleet is strained: proxies then avoid most other lines by their own
+        // count of failures, and whatever the weights say, all of it would fall on the newcomer.
+        let waits = rest >= WARM_ENOUGH * full && (self.strained || self.usual_loss(zone) >= COMMON_LOSS);
         for (id, base, warmth) in cold {
+            // Few hosts left: what the others no longer carry must not push a cold host over.
             let budget = self.set.overload_factor * warmth * COLD_USE / ASSUMED_LOAD;
             let share = (budget * base / full).min(0.9);
             let most = share / (1.0 - share) * rest;
-            if rest > 0.0 && lines[&id] > most {
+            if rest > 0.0 && waits {
+                lines.remove(&id);
+            } else if rest > 0.0 && lines[&id] > most {
                 lines.insert(id, most);
             }
         }
