--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -26,11 +26,10 @@
 const GROUP_SHARE: f64 = 0.5;
 /// Half-life of the evidence of the fast path; it must span a round of sums.
 const HALF_LIFE_S: f64 = 2.0;
-/// Losses that take a host out, their share, and how far that stands out against the usual loss: a host
-/// that still answers is the ranking's affair, and what all hosts lose is overload.
+/// Losses in a row that take a host out, and the chance, at the loss usual in its zone, under which a longer
+/// row counts: a host that still answers is the ranking's affair, and what all hosts lose is overload.
 const OUT_LOST: f64 = 3.0;
-const OUT_SHARE: f64 = 0.8;
-const OUT_ABOVE: f64 = 0.4;
+const OUT_CHANCE: f64 = 1e-3;
 /// Median loss from which the fleet as a whole is in trouble: then no host is a laggard.
 const COMMON_LOSS: f64 = 0.1;
 /// Tries expected of a host without a line that count as silence (chance leaves 1 in 1000), if the other
@@ -103,9 +102,10 @@
     /// Halvings in force, and rounds in a row that speak for the next move.
     step: u32,
     confirmed: u32,
-    /// Evidence of the fast path, fading.
+    /// Evidence of the fast path: fading counts, and losses since the last line with a good answer.
     good: f64,
     bad: f64,
+    streak: f64,
     faded_at: Micros,
     /// Since the last line: tries expected by weight, and turns of lines of the other hosts.
     missed: f64,
@@ -370,6 +370,7 @@
         let fade = 0.5f64.powf(self.now.since(path.faded_at) / HALF_LIFE_S);
         path.good = path.good * fade + tries - lost;
         path.bad = path.bad * fade + lost;
+        path.streak = if lost == tries { path.streak + lost } else { 0.0 };
         path.faded_at = self.now;
     }
 
@@ -420,7 +421,7 @@
 
     /// Moves hosts of one owner in and out of its leading group.
     fn rank(&mut self, name: &ZoneId, zone: &mut Zone, fresh: &BTreeSet<HostId>) {
-        // If all exits fail the order stays (design page): losses that most hosts share say nothing of any one
+        // If all exits fail the order stays (design page): losses that most hosts share say nothing of one
         // of them, and fewer hosts would only make an overload worse.
         if self.usual_loss(zone) >= COMMON_LOSS {
             return;
@@ -457,26 +458,28 @@
     }
 
     // ---- 5. Health ---------------------------------------------------------------------------------------
-    /// The fast path: takes out what loses or swallows its requests, zone by zone (a zone that is cut off must
-    /// not withdraw a host for all), and tries it again after a while.
+    /// The fast path: takes out what loses or swallows its requests, zone by zone (a zone that is cut off
+    /// must not withdraw a host for all), and tries it again after a while.
     fn judge(&mut self, name: &ZoneId, zone: &mut Zone) {
         let usual = self.usual_loss(zone);
-        let (mut staying, mut total) = (0.0, 0.0);
-        let mut suspects: Vec<HostId> = Vec::new();
-        for (id, host) in self.fleet.iter().filter(|(_, host)| host.ready()) {
+        for (id, _) in self.fleet.iter().filter(|(_, host)| host.ready()) {
             let path = zone.paths.entry(id.clone()).or_default();
-            let lossy =
-                path.bad >= OUT_LOST && path.bad / (path.good + path.bad) >= OUT_SHARE.max(usual + OUT_ABOVE);
+            let lossy = path.streak >= OUT_LOST && usual.powf(path.streak) < OUT_CHANCE;
             let silent = path.missed >= SILENT_TRIES && path.turns >= SILENT_TURNS && usual < COMMON_LOSS;
-            total += host.weight;
             match path.state {
-                Health::In if lossy || silent => suspects.push(id.clone()),
-                Health::In => staying += host.weight,
+                Health::In if lossy || silent => {
+                    let why = format!("{:.0} lost in a row, {:.0} missed", path.streak, path.missed);
+                    self.notes.push(format!("{} out for {}: {why}", id.0, name.0));
+                    (path.stay_s, path.state) = (OUT_S, Health::Out(self.after(OUT_S)));
+                }
                 Health::Out(until) if self.now >= until => {
-                    path.state = Health::Trial(self.after(TRIAL_S));
-                    (path.good, path.bad, path.missed, path.turns) = (0.0, 0.0, 0.0, 0.0);
+                    *path = Path {
+                        state: Health::Trial(self.after(TRIAL_S)),
+                        stay_s: path.stay_s,
+                        ..Path::default()
+                    };
                 }
-                Health::Trial(_) if path.bad >= 2.0 && path.bad > path.good => {
+                Health::Trial(_) if path.streak >= 2.0 => {
                     path.stay_s = (2.0 * path.stay_s).min(OUT_LONGEST_S);
                     path.state = Health::Out(self.after(path.stay_s));
                 }
@@ -487,25 +490,26 @@
                 _ => {}
             }
         }
-        // Panic threshold: if nearly all look bad at once, the observer, its own zone or an overload is the
-        // likelier cause; the tables stay as they are.
-        if staying < PANIC_SHARE * total {
-            return;
-        }
-        for id in suspects {
-            let Some(path) = zone.paths.get_mut(&id) else { continue };
-            path.stay_s = OUT_S;
-            path.state = Health::Out(self.after(OUT_S));
-            let why = format!("{:.0} lost, {:.0} good, {:.0} missed", path.bad, path.good, path.missed);
-            self.notes.push(format!("{} out for {}: {why}", id.0, name.0));
-        }
     }
 
-    /// The median loss of a zone's hosts: an outlier must stand out against it.
+    /// The median loss of those of a zone's hosts that answer: an outlier must stand out against it. 1
+    /// where next to none answers (panic threshold): the observer, its zone or an overload is likelier then.
     fn usual_loss(&self, zone: &Zone) -> f64 {
-        let ready = zone.paths.iter().filter(|(id, _)| self.fleet.get(id).is_some_and(Host::ready));
-        let heard = ready.filter(|(_, p)| p.state == Health::In && p.good + p.bad >= 2.0);
-        median(heard.map(|(_, p)| p.bad / (p.good + p.bad))).unwrap_or(0.0)
+        let (mut staying, mut total, mut losses) = (0.0, 0.0, Vec::new());
+        for (id, host) in self.fleet.iter().filter(|(_, h)| h.ready()) {
+            total += host.weight;
+            let path = zone.paths.get(id);
+            if path.is_none_or(|p| p.state == Health::In && p.streak < OUT_LOST) {
+                staying += host.weight;
+                let heard = path.filter(|p| p.good + p.bad >= 2.0);
+                losses.extend(heard.map(|p| p.bad / (p.good + p.bad)));
+            }
+        }
+        if staying < PANIC_SHARE * total {
+            1.0
+        } else {
+            median(losses.into_iter()).unwrap_or(0.0)
+        }
     }
 
     // ---- 6. Return ---------------------------------------------------------------------------------------
@@ -677,8 +681,8 @@
         }
     }
 
-    /// Whether `lines` more to a zone's proxies may go now. Urgent orders may use more of the channel, so that
-    /// ordinary ones always leave room for a mass rejoin or a drain.
+    /// Whether `lines` more to a zone's proxies may go now. Urgent orders may use more of the channel, so
+    /// that ordinary ones always leave room for a mass rejoin or a drain.
     fn room(&self, urgency: Urgency, lines: f64, zone: &ZoneId) -> bool {
         let (queue, messages) = match urgency {
             Urgency::Drain => (0.9, 1.0),
--- /dev/null
+++ b/crates/wingfold-director/tests/ranking.rs
@@ -0,0 +1,125 @@
+//! The ordinary path: score, confirmation, margin, cooldown, steps.
+mod common;
+use common::*;
+use wingfold_director::interface::*;
+
+fn slow(name: &str, ms: f64) -> impl Fn(&str, &str) -> Manner + '_ {
+    move |_, id| if id == name { Manner { ms, loss: 0.0 } } else { FINE }
+}
+
+/// Seconds from now until a weight differs from `from`.
+fn moves_after(world: &mut World, name: &str, from: f64, manner: impl Fn(&str, &str) -> Manner) -> f64 {
+    let start = world.now;
+    while world.now - start < 60.0 {
+        world.play(1.0, 10, &manner);
+        if world.weight("east", name) != from {
+            return world.now - start;
+        }
+    }
+    f64::INFINITY
+}
+
+#[test]
+fn every_ready_host_is_in_every_zone_table_at_its_listed_weight() {
+    let world = World::running(settings(), 6);
+    for place in ["east", "west"] {
+        let lines = world.lines(place);
+        assert_eq!(lines.len(), 6);
+        assert!(lines.values().all(|w| *w == 1.0), "{lines:?}");
+    }
+}
+
+#[test]
+fn a_laggard_halves_only_after_three_rounds_then_to_a_quarter_and_no_further() {
+    let mut world = World::running(settings(), 6);
+    let first = moves_after(&mut world, "h2", 1.0, slow("h2", 600.0));
+    assert_eq!(world.weight("east", "h2"), 0.5);
+    assert!((6.0..=9.0).contains(&first), "three rounds of 2 s, not {first}");
+    let second = moves_after(&mut world, "h2", 0.5, slow("h2", 600.0));
+    assert_eq!(world.weight("east", "h2"), 0.25);
+    assert!(second >= 8.0, "the cooldown must pass, not {second}");
+    world.play(30.0, 10, slow("h2", 600.0));
+    assert_eq!(world.weight("east", "h2"), 0.25);
+    assert_eq!(world.weight("east", "h0"), 1.0);
+}
+
+#[test]
+fn a_host_that_recovers_doubles_back_likewise() {
+    let mut world = World::running(settings(), 6);
+    world.play(30.0, 10, slow("h2", 600.0));
+    assert_eq!(world.weight("east", "h2"), 0.25);
+    let first = moves_after(&mut world, "h2", 0.25, |_, _| FINE);
+    assert!(first >= 6.0, "three rounds, not {first}");
+    assert_eq!(world.weight("east", "h2"), 0.5);
+    let second = moves_after(&mut world, "h2", 0.5, |_, _| FINE);
+    assert!(second >= 8.0, "the cooldown must pass, not {second}");
+    assert_eq!(world.weight("east", "h2"), 1.0);
+}
+
+#[test]
+fn inside_the_margin_nothing_moves() {
+    let mut world = World::running(settings(), 6);
+    world.play(40.0, 10, slow("h2", 115.0));
+    assert_eq!(world.weight("east", "h2"), 1.0);
+}
+
+#[test]
+fn loss_weighs_a_hundred_ms_a_percent() {
+    // 10 % of loss are 1000 ms: far behind, though its latency is the best of all.
+    let mut world = World::running(settings(), 6);
+    let lossy = |_: &str, id: &str| if id == "h2" { Manner { ms: 50.0, loss: 0.1 } } else { FINE };
+    world.play(12.0, 10, lossy);
+    assert_eq!(world.weight("east", "h2"), 0.5);
+}
+
+#[test]
+fn one_stale_figure_confirms_nothing() {
+    // A seldom-heard host reported one slow try; the rounds after it bring no news of that host.
+    let mut world = World::running(settings(), 6);
+    world.play(4.0, 10, |_, _| FINE);
+    let sums = Sums { total: 2, lost: 0, over: at(1.0) };
+    let heard = Event::Heard(zone("east"), host("h2"), sums, at(2.0), Load::default());
+    world.send(&[heard]);
+    for _ in 0..12 {
+        world.wait(1.0);
+        let other = |id: &str| {
+            let sums = Sums { total: 1, lost: 0, over: at(1.0) };
+            Event::Heard(zone("east"), host(id), sums, at(0.1), Load::default())
+        };
+        world.send(&[other("h0"), other("h1")]);
+    }
+    assert_eq!(world.weight("east", "h2"), 1.0);
+}
+
+#[test]
+fn when_all_fail_the_tables_stay() {
+    let mut world = World::running(settings(), 6);
+    world.play(4.0, 10, |_, _| FINE);
+    let before = world.lines("east");
+    world.play(30.0, 10, |_, _| DEAD);
+    assert_eq!(world.lines("east"), before);
+}
+
+#[test]
+fn losses_that_all_share_make_no_laggard() {
+    // Guards against: an overload read as many laggards, which leaves fewer hosts for the same work.
+    let mut world = World::running(settings(), 6);
+    let manner = |_: &str, id: &str| Manner { ms: 300.0, loss: if id == "h2" { 0.6 } else { 0.3 } };
+    world.play(30.0, 10, manner);
+    assert!(world.lines("east").values().all(|w| *w == 1.0), "{:?}", world.lines("east"));
+}
+
+#[test]
+fn owners_rank_for_themselves() {
+    let mut world = World::running(settings(), 6);
+    let manner = |place: &str, id: &str| {
+        if place == "east" && id == "h2" {
+            Manner { ms: 900.0, loss: 0.0 }
+        } else {
+            FINE
+        }
+    };
+    world.play(12.0, 200, manner);
+    assert!(world.weight("east", "h2") < 1.0);
+    assert_eq!(world.weight("west", "h2"), 1.0);
+}
--- /dev/null
+++ b/crates/wingfold-director/tests/safety.rs
@@ -0,0 +1,403 @@
+//! The five rules, health, return, levels and restarts.
+mod common;
+use common::*;
+use wingfold_director::interface::*;
+
+fn changes(entries: Vec<Entry>) -> Event {
+    Event::List(ListKind::Changes, entries)
+}
+
+#[test]
+fn a_draining_host_leaves_every_table_at_once() {
+    let mut world = World::running(settings(), 6);
+    world.wait(1.0);
+    let out = world.send(&[changes(vec![entry("h2", "east", Readiness::Draining, None)])]);
+    let gone =
+        out.iter().filter(|a| matches!(a, Action::SetLine(_, id, w) if *id == host("h2") && *w == 0.0));
+    assert_eq!(gone.count(), 2, "one line in each zone's table: {out:?}");
+}
+
+#[test]
+fn a_host_missing_from_a_whole_list_leaves() {
+    let mut world = World::running(settings(), 6);
+    world.wait(1.0);
+    world.send(&[Event::List(ListKind::Whole, fleet(5))]);
+    assert_eq!(world.weight("east", "h5"), 0.0);
+    assert_eq!(world.lines("west").len(), 5);
+}
+
+#[test]
+fn a_dead_host_is_out_fast_and_tried_again_lightly() {
+    let mut world = World::running(settings(), 8);
+    world.play(4.0, 10, |_, _| FINE);
+    let dead = |_: &str, id: &str| if id == "h2" { DEAD } else { FINE };
+    world.play(2.0, 10, dead);
+    assert_eq!(world.weight("east", "h2"), 0.0, "no confirmation for what answers nothing");
+    let before = world.actions.len();
+    world.play(20.0, 10, dead);
+    let tried = |a: &Action| match a {
+        Action::SetLine(_, id, weight) if *id == host("h2") && *weight > 0.0 => Some(*weight),
+        _ => None,
+    };
+    let tried: Vec<f64> = world.actions[before..].iter().filter_map(|(_, a)| tried(a)).collect();
+    assert!(!tried.is_empty(), "it must be tried again");
+    assert!(tried.iter().all(|w| *w <= 0.125), "and lightly: {tried:?}");
+    assert_eq!(world.weight("east", "h2"), 0.0);
+}
+
+#[test]
+fn a_host_that_answers_again_returns_at_a_quarter_and_climbs() {
+    let mut world = World::running(settings(), 8);
+    world.play(4.0, 10, |_, _| FINE);
+    world.play(2.0, 10, |_, id| if id == "h2" { DEAD } else { FINE });
+    world.play(8.0, 10, |_, _| FINE);
+    assert_eq!(world.weight("east", "h2"), 0.25);
+    world.play(40.0, 10, |_, _| FINE);
+    assert_eq!(world.weight("east", "h2"), 1.0);
+}
+
+#[test]
+fn a_host_that_swallows_its_requests_without_a_line_is_out() {
+    // Guards against: a hung host produces no sums at all, which must not read as all being well.
+    let mut world = World::running(settings(), 8);
+    world.play(4.0, 10, |_, _| FINE);
+    for _ in 0..5 {
+        world.wait(1.0);
+        let lines = world.lines("east").into_keys().filter(|id| *id != host("h2"));
+        let sums = Sums { total: 5, lost: 0, over: at(1.0) };
+        let events: Vec<Event> =
+            lines.map(|id| Event::Heard(zone("east"), id, sums, at(0.1), Load::default())).collect();
+        world.send(&events);
+    }
+    assert_eq!(world.weight("east", "h2"), 0.0);
+}
+
+#[test]
+fn sums_that_are_late_for_all_are_silence_of_none() {
+    let mut world = World::running(settings(), 8);
+    world.play(4.0, 10, |_, _| FINE);
+    let before = world.lines("east");
+    world.wait(30.0);
+    assert_eq!(world.lines("east"), before);
+}
+
+#[test]
+fn lines_that_wait_their_turn_are_not_silence() {
+    // Guards against: sums limited to few lines a second; each line then holds many tries, and a host whose
+    // turn comes last looks as if it had missed them all.
+    let mut world = World::running(settings(), 8);
+    for turn in 0..80 {
+        world.wait(0.25);
+        let id = host(&format!("h{}", turn % 8));
+        let sums = Sums { total: 30, lost: 0, over: at(2.0) };
+        world.send(&[Event::Heard(zone("east"), id, sums, at(0.1), Load::default())]);
+    }
+    assert_eq!(world.lines("east").len(), 8);
+}
+
+#[test]
+fn a_zone_that_is_cut_off_withdraws_hosts_only_for_itself() {
+    let mut world = World::running(settings(), 8);
+    world.play(4.0, 10, |_, _| FINE);
+    let odd = |id: &str| id[1..].parse::<u32>().unwrap() % 2 == 1;
+    world.play(4.0, 10, |place, id| if (place == "east") == odd(id) { DEAD } else { FINE });
+    for n in 0..8 {
+        let name = format!("h{n}");
+        let (east, west) = (world.weight("east", &name), world.weight("west", &name));
+        assert_eq!(east > 0.0, n % 2 == 0, "{name} for east");
+        assert_eq!(west > 0.0, n % 2 == 1, "{name} for west");
+    }
+}
+
+#[test]
+fn when_nearly_all_look_dead_none_is_taken_out() {
+    let mut world = World::running(settings(), 8);
+    world.play(4.0, 10, |_, _| FINE);
+    world.play(10.0, 10, |_, id| if id == "h0" { FINE } else { DEAD });
+    assert_eq!(world.lines("east").len(), 8);
+}
+
+#[test]
+fn no_table_is_ever_empty_while_a_warm_host_is_ready() {
+    let mut world = World::running(settings(), 4);
+    world.play(4.0, 10, |_, _| FINE);
+    world.play(3.0, 10, |_, id| if id == "h0" { DEAD } else { FINE });
+    assert_eq!(world.weight("east", "h0"), 0.0);
+    let gone = (1..4).map(|n| entry(&format!("h{n}"), "east", Readiness::Gone, None)).collect();
+    world.send(&[changes(gone)]);
+    assert!(world.weight("east", "h0") > 0.0, "the last host stays, whatever it looked like");
+    world.play(20.0, 10, |_, _| DEAD);
+    assert!(world.weight("east", "h0") > 0.0);
+}
+
+#[test]
+fn a_started_host_is_held_to_its_warmth() {
+    let mut world = World::running(settings(), 8);
+    world.play(4.0, 10, |_, _| FINE);
+    world.send(&[changes(vec![entry("h2", "east", Readiness::Ready, Some(world.now - 1.0))])]);
+    let set = settings();
+    let started = world.now - 1.0;
+    while world.now - started < 16.0 {
+        let sure = set.start_capacity + (1.0 - set.start_capacity) * (world.now - started) / set.cold.secs();
+        assert!(world.weight("east", "h2") <= sure + 1e-9, "at {}", world.now);
+        assert!(world.weight("east", "h2") > 0.0);
+        world.play(1.0, 10, |_, _| FINE);
+    }
+    world.play(3.0, 10, |_, _| FINE);
+    assert_eq!(world.weight("east", "h2"), 1.0);
+}
+
+#[test]
+fn few_hosts_left_do_not_push_a_cold_one_over() {
+    let mut world = World::running(settings(), 10);
+    world.play(4.0, 10, |_, _| FINE);
+    let mut news: Vec<Entry> =
+        (3..10).map(|n| entry(&format!("h{n}"), "east", Readiness::Gone, None)).collect();
+    news.push(entry("h2", "east", Readiness::Ready, Some(world.now)));
+    world.send(&[changes(news)]);
+    let lines = world.lines("east");
+    let share = lines[&host("h2")] / lines.values().sum::<f64>();
+    // Ten hosts at a load of 0.75: its share of that against what it is sure to do, times the factor.
+    assert!(share * 10.0 * 0.75 <= 0.2 * 3.0, "share {share} of {lines:?}");
+}
+
+#[test]
+fn cold_hosts_wait_while_losses_are_common() {
+    // Guards against: proxies that avoid most lines by their own count send everything to the newcomer.
+    let mut world = World::running(settings(), 10);
+    world.play(6.0, 10, |_, _| Manner { ms: 900.0, loss: 0.6 });
+    world.send(&[changes(vec![entry("h2", "east", Readiness::Ready, Some(world.now - 0.5))])]);
+    assert_eq!(world.weight("east", "h2"), 0.0);
+    world.play(20.0, 10, |_, _| FINE);
+    assert!(world.weight("east", "h2") > 0.0);
+}
+
+#[test]
+fn a_level_recovers_when_hosts_stop_reporting() {
+    // Guards against: hosts that get nothing report nothing, and their last busy share holds levels down.
+    let mut world = World::running(settings(), 6);
+    let heard = |world: &World, only: Option<&str>, busy: f64| -> Vec<Event> {
+        let sums = Sums { total: 10, lost: 0, over: at(1.0) };
+        let load = Load { busy: Some(busy), ..Load::default() };
+        let lines = world.lines("east").into_keys().filter(|id| only.is_none_or(|o| *id.0 == *o));
+        let mut events: Vec<Event> =
+            lines.map(|id| Event::Heard(zone("east"), id, sums, at(0.1), load)).collect();
+        events.push(Event::Usage(ProxyId(0), ClassId(0), Sums { total: 90, lost: 0, over: at(1.0) }));
+        events.push(Event::Usage(ProxyId(0), ClassId(1), Sums { total: 10, lost: 0, over: at(1.0) }));
+        events
+    };
+    for _ in 0..12 {
+        world.wait(1.0);
+        let events = heard(&world, None, 1.0);
+        world.send(&events);
+    }
+    let table = world.table("east");
+    assert!(world.levels[&(table, 1)].0 < 1.0, "saturated: the class worth least is cut");
+    assert_eq!(world.levels[&(table, 2)].0, 1.0, "the class worth most is not");
+    for _ in 0..30 {
+        world.wait(1.0);
+        let events = heard(&world, Some("h0"), 0.1);
+        world.send(&events);
+    }
+    assert_eq!(world.levels[&(table, 1)].0, 1.0);
+}
+
+#[test]
+fn further_tries_follow_the_effect() {
+    let mut set = settings();
+    set.classes.push(class(Effect::Deduplicated, 1.0, 2.0));
+    let world = World::running(set, 6);
+    let retries = |bit: u64| world.levels[&(world.table("east"), bit)].1;
+    assert!(retries(1) >= Retry::OnProof);
+    assert_eq!(retries(2), Retry::OnProof, "at most once: only on proof that it never ran");
+    assert_eq!(retries(4), Retry::OnProof, "its group is not surely kept in a table of all hosts");
+    for (_, action) in &world.actions {
+        if let Action::Admit(_, mask, _, retry) = action {
+            assert!(mask.0 != 0, "an order for all classes would reach those that must not repeat");
+            assert!(mask.0 & 0b110 == 0 || *retry <= Retry::OnProof, "{action:?}");
+        }
+    }
+}
+
+#[test]
+fn nothing_repeats_after_any_failure_while_hosts_are_strained() {
+    let mut world = World::running(settings(), 6);
+    world.play(8.0, 10, |_, _| Manner { ms: 900.0, loss: 0.5 });
+    assert!(world.levels.values().all(|(_, retry)| *retry <= Retry::OnProof));
+}
+
+#[test]
+fn a_class_limited_to_zones_has_tables_of_its_own() {
+    let mut set = settings();
+    set.classes[1].zones = vec![zone("west")];
+    let mut world = World::running(set, 6);
+    world.play(4.0, 10, |_, _| FINE);
+    let bind = world.binds.iter().copied().find(|b| b.0 == ProxyId(0) && b.2 .0 == 2);
+    let bind = bind.expect("bound by class");
+    let names: Vec<String> = world.tables[&bind.1].keys().map(|id| id.0.to_string()).collect();
+    assert_eq!(names, ["h1", "h3", "h5"]);
+    let gone = [1, 3].map(|n| entry(&format!("h{n}"), "west", Readiness::Draining, None)).to_vec();
+    world.send(&[changes(gone)]);
+    world.play(10.0, 10, |_, id| if id == "h5" { DEAD } else { FINE });
+    assert!(world.tables[&bind.1].contains_key(&host("h5")), "the last open host stays");
+    assert!(!world.lines("east").contains_key(&host("h5")), "where others are open it goes");
+}
+
+#[test]
+fn a_proxy_is_bound_once_a_join() {
+    let mut world = World::running(settings(), 6);
+    world.play(20.0, 10, |_, _| FINE);
+    assert_eq!(world.binds.len(), 2);
+    world.send(&[Event::Left(ProxyId(0))]);
+    world.send(&[Event::Joined(ProxyId(0), zone("east"), 50.0)]);
+    assert_eq!(world.binds.len(), 3);
+}
+
+#[test]
+fn the_channel_never_holds_more_than_its_limit() {
+    let mut set = settings();
+    (set.lines_per_s, set.queue_max) = (100.0, 300.0);
+    let mut world = World::new(set.clone());
+    world.send(&[Event::List(ListKind::Remembered, fleet(20))]);
+    let join =
+        |n: u32| Event::Joined(ProxyId(n), zone(if n.is_multiple_of(2) { "east" } else { "west" }), 1.0);
+    world.send(&(0..40).map(join).collect::<Vec<_>>());
+    let (mut queued, mut last) = (0.0f64, 0.0);
+    for _ in 0..400 {
+        world.wait(0.25);
+    }
+    let mut orders = world.actions.iter().peekable();
+    while let Some((time, _)) = orders.peek().copied() {
+        let mut lines: std::collections::BTreeMap<ProxyId, f64> = Default::default();
+        while let Some((_, action)) = orders.next_if(|(t, _)| t == time) {
+            if let Action::Bind(proxy, ..) = action {
+                *lines.entry(*proxy).or_default() += 1.0 + 20.0 + 2.0;
+            }
+        }
+        queued = (queued - (time - last) * set.lines_per_s).max(0.0);
+        queued += lines.values().map(|l| l + set.message_overhead).sum::<f64>();
+        last = *time;
+        assert!(queued <= set.queue_max, "{queued} lines wait at {time}");
+    }
+    assert_eq!(world.binds.len(), 40, "and all are bound in the end");
+}
+
+#[test]
+fn no_proxy_gets_more_messages_than_the_limit() {
+    let mut set = settings();
+    set.messages_max = 6;
+    let mut world = World::running(set, 12);
+    for round in 0..80 {
+        let n = round % 11;
+        let started = Some(world.now);
+        world.send(&[changes(vec![entry(&format!("h{n}"), "east", Readiness::Ready, started)])]);
+        world.play(1.0, 10, |_, id| if id == "h11" { DEAD } else { FINE });
+    }
+    let table = world.table("east");
+    let mut times: Vec<f64> = Vec::new();
+    for (time, action) in &world.actions {
+        let mine = matches!(action, Action::SetLine(t, ..) | Action::Admit(Some(t), ..) if *t == table)
+            || matches!(action, Action::Bind(ProxyId(0), ..));
+        if mine && times.last() != Some(time) && *time > 0.0 {
+            times.push(*time);
+        }
+    }
+    assert!(times.len() > 20, "there must be something to limit");
+    for window in times.windows(7) {
+        assert!(window[6] - window[0] > 10.0 - 1e-9, "seven messages within 10 s: {window:?}");
+    }
+}
+
+#[test]
+fn the_list_is_asked_for_again_with_growing_pauses_inside_the_allowed_time() {
+    let mut set = settings();
+    set.list_on_request = true;
+    let mut world = World::new(set);
+    world.send(&[Event::List(ListKind::Remembered, fleet(4))]);
+    let asked = |world: &World| -> Vec<f64> {
+        world.actions.iter().filter(|(_, a)| *a == Action::Watch(true)).map(|(t, _)| *t).collect()
+    };
+    assert_eq!(asked(&world).len(), 1);
+    for _ in 0..200 {
+        let before = asked(&world).len();
+        world.wait(0.25);
+        if asked(&world).len() > before || world.now <= 0.25 {
+            world.send(&[Event::ListFailed]);
+        }
+    }
+    let times = asked(&world);
+    assert!(times.len() >= 6, "{times:?}");
+    assert!(times.windows(2).all(|w| w[1] - w[0] <= 10.0), "{times:?}");
+    assert!(times[times.len() - 1] - times[times.len() - 2] > times[1] - times[0]);
+}
+
+#[test]
+fn after_a_restart_a_remembered_list_serves_until_news_comes() {
+    let mut world = World::new(settings());
+    let mut remembered = fleet(6);
+    remembered[0].started = Some(at(95.0));
+    world.now = 100.0;
+    let out = world.send(&[
+        Event::List(ListKind::Remembered, remembered),
+        Event::Joined(ProxyId(0), zone("east"), 50.0),
+    ]);
+    assert!(out.contains(&Action::FetchList), "it may be old");
+    assert!(world.weight("east", "h0") < 1.0, "a recent start is still cold");
+    assert_eq!(world.weight("east", "h1"), 1.0, "others start at their listed weight");
+    world.send(&[Event::List(ListKind::Whole, fleet(5))]);
+    assert_eq!(world.weight("east", "h5"), 0.0);
+}
+
+#[test]
+fn the_same_events_give_the_same_actions_alone_or_beside_another() {
+    let run = |beside: bool| {
+        let mut other = World::running(settings(), 5);
+        let mut world = World::running(settings(), 8);
+        for step in 0..20 {
+            if beside {
+                other.play(1.0, 3, |_, id| if id == "h1" { DEAD } else { FINE });
+            }
+            world.play(1.0, 10, |_, id| Manner {
+                ms: 100.0 + (step * 10) as f64,
+                loss: if id == "h3" { 0.9 } else { 0.0 },
+            });
+        }
+        world.actions
+    };
+    assert_eq!(run(false), run(true));
+}
+
+#[test]
+fn nonsense_is_dropped_without_harm() {
+    let mut world = World::running(settings(), 4);
+    world.wait(1.0);
+    let sums = Sums { total: 3, lost: 9, over: at(0.0) };
+    let before = world.tables.clone();
+    world.send(&[
+        Event::Heard(zone("nowhere"), host("h0"), sums, at(0.1), Load::default()),
+        Event::Heard(zone("east"), host("unknown"), sums, at(0.1), Load::default()),
+        Event::Usage(ProxyId(99), ClassId(0), sums),
+        Event::Usage(ProxyId(0), ClassId(77), sums),
+        Event::Left(ProxyId(99)),
+        Event::Applied(ProxyId(99), 5, at(0.1)),
+        Event::Probed(host("unknown"), ProbeOutcome::Failed, Load::default()),
+        Event::Timer(12345),
+        Event::Peer(3, vec![1, 2, 3]),
+        Event::Slice,
+        Event::List(ListKind::Changes, Vec::new()),
+    ]);
+    assert_eq!(world.tables, before);
+}
+
+#[test]
+fn slices_get_one_log_line_and_no_orders() {
+    let mut set = settings();
+    set.slices = 64;
+    let mut world = World::new(set);
+    world.send(&[Event::List(ListKind::Remembered, fleet(4)), Event::Slice]);
+    world.send(&[Event::Joined(ProxyId(0), zone("east"), 5.0), Event::Slice]);
+    world.wait(5.0);
+    let logs = world.actions.iter().filter(|(_, a)| matches!(a, Action::Log(_))).count();
+    assert_eq!(logs, 1);
+    assert!(world.actions.iter().all(|(_, a)| matches!(a, Action::Log(_) | Action::Timer(..))));
+}
