--- a/crates/wingfold-simhost/tests/wire.rs
+++ b/crates/wingfold-simhost/tests/wire.rs
@@ -16,7 +16,7 @@
 }
 
 fn info(extra: &str) -> String {
-    let text = r#"{"replicas_of_me":2,"me":0,"zone":"n","dcs":["n","s"],"discovery":"on_request","EXTRA
+    let text = r#"{"replicas_of_me":2,"me":0,"zone":"n","dcs":["n","s"],"discovery":"on_request",
         "classes":[{"name":"read","goal_time":1000000,"deadline":3000000,"repeat":"idempotent","gain":1.0},
                    {"name":"pay","goal_time":800000,"deadline":2000000,"repeat":"at_most_once","gain":5.0,
                     "only_zones":["s"]}],
@@ -28,12 +28,12 @@
         "rules":{"ask_within":10000000,"cold":18000000,"drain_grace":3400000,"overload_factor":4.0,
                  "overload_for":3000000,"start_capacity":0.24}}"#;
     let shards = if extra.contains("slices") { "16" } else { "0" };
-    text.replace("EXTRA", "").replace("SHARDS", shards).replace('\n', " ")
+    text.replace("SHARDS", shards).replace('\n', " ")
 }
 
 fn launch(extra: &str) -> String {
     let list = "fleet\tPersisted\t41\t2\nitem\tbox\tn\t0\tReady\t1\t-\t10.0.0.1:7\nitem\tbox\ts\t1\tReady\t1.5\t610\t10.0.0.2:7\n";
-    format!("batch\t1000\t1\nfor\t3\nlaunch\t17\t{}\n{list}flush\n", info(extra))
+    format!("batch\t2500000\t1\nfor\t3\nlaunch\t17\t{}\n{list}flush\n", info(extra))
 }
 
 fn replies(input: &str) -> Vec<String> {
@@ -73,17 +73,18 @@
 
 #[test]
 fn every_event_is_read_and_a_join_is_answered_by_binds() {
-    let events = "batch\t2000000\t2\nfor\t3\nsubscribed\tn\t6.5\t1\t41\nwakeup\t77\n\
+    let events = "batch\t3500000\t2\nfor\t3\nsubscribed\tn\t6.5\t1\t41\nwakeup\t77\n\
         probe_result\t1\t1400\t10.0.0.1:7\t0.62,7,14.5,-\nprobe_result\t4\t1400\t10.0.0.1:7\t-\n\
         message\t1\taGkgNw==\nmessage\t1\t-\nroundup\tn\t10.0.0.1:7\t14\t1\t48250\t1000000\t0.62,7,14.5,2\n\
         roundup\tn\t10.0.0.1:7\t14\t14\t0\t1000000\t-\nusage\t41\tread\t9\t0\t2000000\n\
         key_load\t117\tread\t23\t2\t1000000\ncharge\t117\t1\nheld\t10.0.0.1:7\t1\t117\n\
         installed\t41\t12\t412500\nfleet\tError\t-\t-\nfleet\tComplete\t42\t0\n\
         fleet\tPartial\t43\t1\nitem\tbox\tn\t0\tTerminating\t1\t-\t10.0.0.1:7\nparted\t41\nflush\n\
-        batch\t3000000\t3\nfor\t3\ndestroy\nflush\n";
+        batch\t4500000\t3\nfor\t3\ndestroy\nflush\n";
     let lines = replies(&format!("{}{events}", launch("")));
     assert_eq!(lines.last().map(String::as_str), Some("ack\t3"));
-    let joined = replies(&format!("{}batch\t2000\t2\nfor\t3\nsubscribed\ts\t6\t0\t9\nflush\n", launch("")));
+    let joined =
+        replies(&format!("{}batch\t2600000\t2\nfor\t3\nsubscribed\ts\t6\t0\t9\nflush\n", launch("")));
     assert!(joined.iter().any(|l| l.starts_with("bind\t9\t") && l.ends_with("\t1")), "{joined:?}");
     assert!(joined.iter().any(|l| l.starts_with("bind\t9\t") && l.ends_with("\t2")), "{joined:?}");
 }
@@ -107,7 +108,7 @@
 
 #[test]
 fn malformed_input_is_named_and_ends_the_adapter() {
-    let inside = |line: &str| format!("{}batch\t2000\t2\nfor\t3\n{line}\nflush\n", launch(""));
+    let inside = |line: &str| format!("{}batch\t2600000\t2\nfor\t3\n{line}\nflush\n", launch(""));
     fails("nonsense\n", "nonsense", "batch");
     fails("batch\tsoon\t1\nflush\n", "batch", "`t`");
     fails("batch\t1\t1\nbatch\t2\t2\n", "batch", "ended");
