Order further tries only on proof that the first never ran

Cause: one try after any failure of a safe class waits until the aim has passed, earns little and adds up to half again the attempts while hosts are short of room; strain ends it too late. Kept for all: one way of trying again for every effect.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -583,10 +583,9 @@
 
     /// The level and way of trying again of a class in a zone's table.
     fn level(&self, zone: &ZoneId, class: usize) -> (f64, Retry) {
-        // Proof that a try never ran makes a repeat safe for every class; only a class that is safe to repeat
-        // may go again after any failure, and not while hosts are strained.
-        let idempotent = self.set.classes[class].effect == Effect::Idempotent;
-        let retry = if idempotent && !self.strained { Retry::Once } else { Retry::OnProof };
+        // Proof that a try never ran makes a repeat safe for every class, whatever its effect. After any
+        // other failure none is ordered, not even where it would be safe: the second try comes after the aim
+        // has passed, and doubles the work just when hosts are short of it.
         let share = self.share(class);
         let level = match self.set.admission {
             Admission::Share => (share * 20.0).round() / 20.0,
@@ -594,7 +593,7 @@
             Admission::Rate => NO_LIMIT,
             Admission::Ignored => 1.0,
         };
-        (level, retry)
+        (level, Retry::OnProof)
     }
 
     /// The rate at each proxy of the zone that lets `share` of the class in.
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -208,7 +208,8 @@
     set.classes.push(class(Effect::Deduplicated, 1.0, 2.0));
     let world = World::running(set, 6);
     let retries = |bit: u64| world.levels[&(world.table("east"), bit)].1;
-    assert!(retries(1) >= Retry::OnProof);
+    // Guards against: second tries after the aim, which double the work of hosts that are short of it.
+    assert_eq!(retries(1), Retry::OnProof, "safe to repeat, but no worth is left after the aim");
     assert_eq!(retries(2), Retry::OnProof, "at most once: only on proof that it never ran");
     assert_eq!(retries(4), Retry::OnProof, "its group is not surely kept in a table of all hosts");
     for (_, action) in &world.actions {
@@ -219,13 +220,6 @@
     }
 }
 
-#[test]
-fn nothing_repeats_after_any_failure_while_hosts_are_strained() {
-    let mut world = World::running(settings(), 6);
-    world.play(8.0, 10, |_, _| Manner { ms: 900.0, loss: 0.5 });
-    assert!(world.levels.values().all(|(_, retry)| *retry <= Retry::OnProof));
-}
-
 #[test]
 fn a_class_limited_to_zones_has_tables_of_its_own() {
     let mut set = settings();
--- a/crates/wingfold-simhost/tests/wire.rs
+++ b/crates/wingfold-simhost/tests/wire.rs
@@ -67,7 +67,7 @@
     assert!(lines.iter().any(|l| l == "assign\t0\t10.0.0.1:7\t1"), "{lines:?}");
     assert!(lines.iter().any(|l| l == "assign\t1\t10.0.0.2:7\t0.375"), "the limited class: {lines:?}");
     assert!(!lines.iter().any(|l| l.starts_with("assign\t1\t10.0.0.1")), "must stay in its zone: {lines:?}");
-    assert!(lines.iter().any(|l| l.starts_with("allow\t1\t1000000\t0\t2")), "{lines:?}");
+    assert!(lines.iter().any(|l| l.starts_with("allow\t1\t1000000\t0\t1")), "{lines:?}");
     assert_eq!(lines.last().map(String::as_str), Some("ack\t1"));
 }
 
