Look at levels every second; balanced locality tried and undone

Tried and undone: remote weight doubled for the zone whose hosts would get over 1.1 of their part by demand and capacity. Cause expected: busy zones.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -62,6 +62,8 @@
 const NO_LIMIT: f64 = 1e6;
 /// The channel is taken to run at this share of its usual pace: slow days are not announced.
 const CHANNEL_PACE: f64 = 0.5;
+/// Time between two looks at the levels and, where probes tell the load, between two probes of a host.
+const LEVEL_S: f64 = 1.0;
 /// Longest time between two looks at the state.
 const TICK_S: f64 = 0.25;
 
@@ -186,6 +188,7 @@
     now: Micros,
     next_tick: Micros,
     next_round: Micros,
+    next_level: Micros,
     fleet: BTreeMap<HostId, Host>,
     zones: Zones,
     proxies: BTreeMap<ProxyId, Proxy>,
@@ -193,6 +196,9 @@
     /// Share of the work that is let in, and what it was when the present figures were measured.
     admitted: f64,
     let_in: VecDeque<(Micros, f64)>,
+    /// Median loss and latency of the hosts in the last round.
+    loss: f64,
+    latency: Option<f64>,
     /// The lowest median latency of a round so far: what an answer takes without waiting.
     unloaded_ms: Option<f64>,
     /// All work that is asked for, in units of listed weight.
@@ -242,6 +248,10 @@
                 self.round(&mut zones);
                 self.next_round = self.after(ROUND_S.max(self.set.report_period.secs()));
             }
+            if self.now >= self.next_level {
+                self.levels(&zones);
+                self.next_level = self.after(LEVEL_S);
+            }
             self.reconcile(&mut zones, out);
             self.zones = zones;
         }
@@ -338,7 +348,7 @@
             out.push(if self.set.list_on_request { Action::Watch(true) } else { Action::FetchList });
         }
         if self.set.probing && self.set.load_reports == LoadReports::WithProbes {
-            let due = |h: &Host| h.ready() && self.now.since(h.probed_at) >= ROUND_S;
+            let due = |h: &Host| h.ready() && self.now.since(h.probed_at) >= LEVEL_S;
             for (id, host) in self.fleet.iter_mut().filter(|(_, h)| due(h)) {
                 host.probed_at = self.now;
                 out.push(Action::Probe(id.clone()));
@@ -416,7 +426,7 @@
             }
             self.rank(name, zone, &fresh);
         }
-        self.levels(zones, loss.unwrap_or(0.0), latency);
+        (self.loss, self.latency) = (loss.unwrap_or(0.0), latency);
     }
 
     /// Moves hosts of one owner in and out of its leading group.
@@ -529,7 +539,8 @@
     /// Lets less in while the hosts cannot do it all. Demand is the cores' busy share (or the wait that goes
     /// with it) times the capacity that is open, over the share let in when it was measured; so a drain or a
     /// cold start shows at once, and a cut is not repeated before it can be seen.
-    fn levels(&mut self, zones: &Zones, loss: f64, latency: Option<f64>) {
+    fn levels(&mut self, zones: &Zones) {
+        let loss = self.loss;
         let (mut capacity, mut seen, mut used) = (0.0, 0.0, 0.0);
         let taken = |id| zones.values().any(|z| z.paths.get(id).is_some_and(|p| p.state == Health::In));
         for (_, host) in self.fleet.iter().filter(|(id, h)| h.ready() && taken(id)) {
@@ -541,7 +552,7 @@
                 (seen, used) = (seen + open, used + open * busy);
             }
         }
-        let Some(latency) = latency.filter(|_| capacity > 0.0) else { return };
+        let Some(latency) = self.latency.filter(|_| capacity > 0.0) else { return };
         let unloaded = self.unloaded_ms.map_or(latency, |known| known.min(latency));
         self.unloaded_ms = Some(unloaded);
         let wait = (latency - unloaded) / self.tightest_aim_ms();
