--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -48,11 +48,13 @@
 /// Use of a cold host's budget, and the fleet's load that is assumed where it is not known.
 const COLD_USE: f64 = 0.5;
 const ASSUMED_LOAD: f64 = 0.75;
+/// A ramp's lead over the slowest warming allowed: few hosts are that slow.
+const RAMP: f64 = 1.25;
 /// Share of the usual weight that warm hosts must hold for cold ones to be left out under strain.
 const WARM_ENOUGH: f64 = 0.4;
 /// Busy share of the cores that levels aim at, and where strain begins; the wait of an answer, as a share
 /// of the tightest aim, that goes with the former; least of a class that is always let in.
-const BUSY_AIM: f64 = 0.8;
+const BUSY_AIM: f64 = 0.7;
 const BUSY_MOST: f64 = 0.92;
 const WAIT_AIM: f64 = 0.2;
 const LEAST_LEVEL: f64 = 0.05;
@@ -523,8 +525,8 @@
     }
 
     // ---- 6. Return ---------------------------------------------------------------------------------------
-    /// Share of its capacity that a host surely has by now: it rises at least evenly. In eighths, so that a
-    /// ramp does not cost a message a tick.
+    /// Slow start: the share of its capacity that a host surely has by now (it rises at least evenly), and a
+    /// quarter on top, far inside the budget. In eighths, so that a ramp does not cost a message a tick.
     fn warmth(&self, host: &Host) -> f64 {
         let start = self.set.start_capacity;
         let age =
@@ -532,7 +534,7 @@
         if age >= 1.0 {
             return 1.0;
         }
-        ((start + (1.0 - start) * age) * 8.0).floor().max(1.0) / 8.0
+        ((RAMP * (start + (1.0 - start) * age)).min(1.0) * 8.0).floor().max(1.0) / 8.0
     }
 
     // ---- 7. Levels and further tries ---------------------------------------------------------------------
