Count warm hosts by listed weight when cold ones wait under strain

Warm hosts now count by listed weight; the fallback of the never-empty guard goes through the same limits.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -628,8 +628,8 @@
     // ---- 8. Reconcile ------------------------------------------------------------------------------------
     /// The lines that a zone's proxies should hold for a group of classes, and the scale of a usual day.
     fn plan(&self, name: &ZoneId, zone: &Zone, group: usize) -> (BTreeMap<HostId, f64>, f64) {
-        let (mut lines, mut fallback) = (BTreeMap::new(), BTreeMap::new());
-        let (mut cold, mut full) = (Vec::new(), 0.0);
+        let (mut lines, mut listed) = (BTreeMap::new(), BTreeMap::new());
+        let (mut cold, mut full, mut warm) = (Vec::new(), 0.0, 0.0);
         let open = |h: &Host| h.ready() && self.groups[group].may_go(name, &h.entry);
         for (id, host) in self.fleet.iter().filter(|(_, h)| open(h)) {
             let near = host.entry.zone == *name || self.set.cross_zone_price <= 0.0;
@@ -642,31 +642,36 @@
                 Health::Out(_) => 0.0,
             };
             full += base;
-            fallback.insert(id.clone(), base * warmth);
+            listed.insert(id.clone(), base * warmth);
             if factor > 0.0 {
                 lines.insert(id.clone(), base * factor.min(warmth));
-                cold.extend((warmth < 1.0).then(|| (id.clone(), base, warmth)));
+            }
+            if warmth < 1.0 {
+                cold.push((id.clone(), base, warmth));
+            } else {
+                warm += base;
             }
         }
         // Never empty: whatever was judged above, a warm host that the list shows as ready stays.
-        let warm = |id: &HostId| self.warmth(&self.fleet[id]) >= 1.0;
-        let full = full.max(zone.tables[group].full);
-        if !lines.keys().any(warm) && (lines.is_empty() || fallback.keys().any(warm)) {
-            return (fallback, full);
+        let is_warm = |id: &HostId| self.warmth(&self.fleet[id]) >= 1.0;
+        if !lines.keys().any(is_warm) && (lines.is_empty() || warm > 0.0) {
+            lines = listed;
         }
-        let rest: f64 = lines.iter().filter(|(id, _)| warm(id)).map(|(_, w)| w).sum();
+        let full = full.max(zone.tables[group].full);
+        let rest: f64 = lines.iter().filter(|(id, _)| is_warm(id)).map(|(_, w)| w).sum();
         // Cold hosts wait while the fleet is strained: proxies then avoid most other lines by their own
-        // count of failures, and whatever the weights say, all of it would fall on the newcomer.
-        let waits = rest >= WARM_ENOUGH * full && (self.strained || self.usual_loss(zone) >= COMMON_LOSS);
-        for (id, base, warmth) in cold {
+        // count of failures, and whatever the weights say, all of it would fall on the newcomer. Warm hosts
+        // count by listed weight here: in a long strain the tables keep little of it.
+        let waits = warm >= WARM_ENOUGH * full && (self.strained || self.usual_loss(zone) >= COMMON_LOSS);
+        for (id, base, warmth) in cold.into_iter().filter(|_| rest > 0.0) {
             // Few hosts left: what the others no longer carry must not push a cold host over.
             let budget = self.set.overload_factor * warmth * COLD_USE / ASSUMED_LOAD;
             let share = (budget * base / full).min(0.9);
             let most = share / (1.0 - share) * rest;
-            if rest > 0.0 && waits {
-                lines.remove(&id);
-            } else if rest > 0.0 && lines[&id] > most {
-                lines.insert(id, most);
+            match lines.get(&id).copied() {
+                Some(_) if waits => drop(lines.remove(&id)),
+                Some(weight) if weight > most => drop(lines.insert(id, most)),
+                _ => {}
             }
         }
         (lines, full)
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -172,6 +172,22 @@
     assert!(world.weight("east", "h2") > 0.0);
 }
 
+#[test]
+fn cold_hosts_wait_also_when_a_long_strain_has_thinned_the_tables() {
+    // Guards against: weight that a strain took from warm hosts read as too few of them to wait for.
+    let mut world = World::running(settings(), 10);
+    let worse = |_: &str, id: &str| match id {
+        "h3" | "h4" => Manner { ms: 900.0, loss: 0.0 },
+        "h5" | "h6" | "h7" | "h8" | "h9" => DEAD,
+        _ => FINE,
+    };
+    world.play(40.0, 10, worse);
+    assert!(world.lines("east").values().sum::<f64>() < 4.0, "{:?}", world.lines("east"));
+    world.play(6.0, 10, |_, _| Manner { ms: 900.0, loss: 0.6 });
+    world.send(&[changes(vec![entry("h2", "east", Readiness::Ready, Some(world.now - 0.5))])]);
+    assert_eq!(world.weight("east", "h2"), 0.0);
+}
+
 #[test]
 fn a_level_recovers_when_hosts_stop_reporting() {
     // Guards against: hosts that get nothing report nothing, and their last busy share holds levels down.
