Let a busy zone spread further over other zones' hosts

Should also catch a zone thinned out by deaths; harm: more crossing than needed where usage is heard late.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -43,14 +43,16 @@
 const TRIAL: f64 = 0.125;
 /// Panic threshold: hosts are not taken out when less of the listed weight than this would stay.
 const PANIC_SHARE: f64 = 0.2;
-/// Weight of hosts in other zones where crossing has a price.
+/// Weight of hosts in other zones where crossing has a price, at least; it doubles for a zone whose own hosts
+/// would get this multiple of their part of the work: below that it would follow noise.
 const REMOTE: f64 = 0.25;
+const BALANCE: f64 = 1.5;
 /// Use of a cold host's budget, and the fleet's load that is assumed where it is not known.
 const COLD_USE: f64 = 0.5;
 const ASSUMED_LOAD: f64 = 0.75;
 /// A ramp's lead over the slowest warming allowed: few hosts are that slow.
 const RAMP: f64 = 1.25;
-/// Share of the usual weight that warm hosts must hold for cold ones to be left out under strain.
+/// Share of the usual weight that warm hosts must hold for cold ones to wait under strain.
 const WARM_ENOUGH: f64 = 0.4;
 /// Busy share of the cores that levels aim at, and where strain begins; the wait of an answer, as a share
 /// of the tightest aim, that goes with the former; least of a class that is always let in.
@@ -66,6 +68,12 @@
 const CHANNEL_PACE: f64 = 0.5;
 /// Time between two looks at the levels and, where probes tell the load, between two probes of a host.
 const LEVEL_S: f64 = 1.0;
+/// How urgent an order is: the part of the channel's queue, and of the messages to a proxy, that it may use,
+/// so that ordinary ones always leave room for a mass rejoin or a drain.
+const DRAIN: (f64, f64) = (0.9, 1.0);
+const BIND: (f64, f64) = (0.75, 0.9);
+const HEALTH: (f64, f64) = (0.5, 0.7);
+const ORDINARY: (f64, f64) = (0.25, 0.4);
 /// Longest time between two looks at the state.
 const TICK_S: f64 = 0.25;
 
@@ -77,7 +85,6 @@
     weight: f64,
     /// Busy share of its cores, as last reported, and when.
     busy: Option<(f64, Micros)>,
-    probed_at: Micros,
 }
 
 impl Host {
@@ -103,6 +110,8 @@
     latency: Option<f64>,
     loss: f64,
     score: Option<f64>,
+    /// The last round had enough news for a figure.
+    fresh: bool,
     /// Halvings in force, and rounds in a row that speak for the next move.
     step: u32,
     confirmed: u32,
@@ -132,6 +141,8 @@
 struct Zone {
     paths: BTreeMap<HostId, Path>,
     tables: Vec<Table>,
+    /// Part of its weight that a host of another zone lacks here.
+    bias: f64,
     moved_at: Option<Micros>,
 }
 
@@ -167,19 +178,10 @@
     bound: bool,
     /// When messages went to it, within the span that is limited.
     sent: VecDeque<Micros>,
-    /// Smoothed requests a second by class.
+    /// Requests a second by class, smoothed.
     usage: BTreeMap<ClassId, f64>,
 }
 
-/// How urgent an order is; lower goes first and may use more of the channel.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Urgency {
-    Drain,
-    Bind,
-    Health,
-    Ordinary,
-}
-
 type Zones = BTreeMap<ZoneId, Zone>;
 
 /// One director's decisions.
@@ -227,10 +229,8 @@
                 None => groups.push(Group { sample: class.clone(), mask: 1 << at }),
             }
         }
-        let notes = match settings.slices {
-            0 => Vec::new(),
-            _ => vec!["slices are not supported: no orders are given".to_string()],
-        };
+        let unserved = "slices are not supported: no orders are given".to_string();
+        let notes = Vec::from_iter((settings.slices > 0).then_some(unserved));
         let zones = settings.zones.clone();
         let start = Director { random: seed | 1, admitted: 1.0, ..Director::default() };
         let mut director = Director { set: settings, groups, notes, ..start };
@@ -248,10 +248,15 @@
             zones.iter_mut().for_each(|(name, zone)| self.judge(name, zone));
             if self.now >= self.next_round {
                 self.round(&mut zones);
+                self.localize(&mut zones);
                 self.next_round = self.after(ROUND_S.max(self.set.report_period.secs()));
             }
             if self.now >= self.next_level {
                 self.levels(&zones);
+                // Load is asked for only where it is told in no other way.
+                let asks = self.set.probing && self.set.load_reports == LoadReports::WithProbes;
+                let ready = self.fleet.iter().filter(|(_, h)| asks && h.ready());
+                out.extend(ready.map(|(id, _)| Action::Probe(id.clone())));
                 self.next_level = self.after(LEVEL_S);
             }
             self.reconcile(&mut zones, out);
@@ -275,8 +280,8 @@
             Event::ListFailed => {
                 // A failed call or a broken subscription: ask again, less often each time, but inside the
                 // time after which the director counts as told anyway. Directors spread by their seeds.
-                (self.random, self.failures) =
-                    (self.random.wrapping_mul(0x5851_F42D_4C95_7F2D) + 1, self.failures + 1);
+                self.failures += 1;
+                self.random = self.random.wrapping_mul(0x5851_F42D_4C95_7F2D) + 1;
                 let spread = 0.75 + 0.5 * (self.random >> 11) as f64 / (1u64 << 53) as f64;
                 let longest = (self.set.ask_within.secs() / 2.0).max(1.0);
                 let wait = spread * (0.25 * 2f64.powi(self.failures.min(10) as i32)).min(longest);
@@ -328,8 +333,8 @@
             let (id, listed) = (&entry.host, if entry.weight > 0.0 { entry.weight } else { 1.0 });
             let kept = known.map(|k| k.weight).filter(|k| (k / listed - 1.0).abs() < 0.25);
             let same = known.map_or(first, |k| k.ready() && k.entry.started == entry.started);
-            let (busy, probed_at) = known.map_or((None, Micros(0)), |k| (k.busy, k.probed_at));
-            let host = Host { entry: entry.clone(), weight: kept.unwrap_or(listed), busy, probed_at };
+            let busy = known.and_then(|k| k.busy);
+            let host = Host { entry: entry.clone(), weight: kept.unwrap_or(listed), busy };
             if !host.ready() {
                 self.notes.push(format!("{} is {:?}", id.0, entry.readiness));
             } else if !same {
@@ -342,20 +347,12 @@
         }
     }
 
-    /// Asks for the list, and for load where it is told in no other way.
     fn ask(&mut self, out: &mut Vec<Action>) {
         if !self.watching && self.now >= self.ask_at {
             self.watching = true;
             // Where changes are pushed, the remembered list may still be old: ask for it once.
             out.push(if self.set.list_on_request { Action::Watch(true) } else { Action::FetchList });
         }
-        if self.set.probing && self.set.load_reports == LoadReports::WithProbes {
-            let due = |h: &Host| h.ready() && self.now.since(h.probed_at) >= LEVEL_S;
-            for (id, host) in self.fleet.iter_mut().filter(|(_, h)| due(h)) {
-                host.probed_at = self.now;
-                out.push(Action::Probe(id.clone()));
-            }
-        }
     }
 
     // ---- 3. Evidence -------------------------------------------------------------------------------------
@@ -407,12 +404,12 @@
         let loss = median(heard().map(|t| t.lost / t.tries));
         let latency = median(heard().filter(|t| t.tries > t.lost).map(|t| t.ms / (t.tries - t.lost)));
         for (name, zone) in zones.iter_mut() {
-            let mut fresh: BTreeSet<HostId> = BTreeSet::new();
             for (id, path) in &mut zone.paths {
                 let (all, own) = (whole[id], path.sum);
                 // A seldom-heard host must not confirm noise: too few tries make no figure, and a zone that
                 // heard little of its own leans on what the other zones heard.
-                if all.tries < ENOUGH {
+                path.fresh = all.tries >= ENOUGH;
+                if !path.fresh {
                     continue;
                 }
                 let loss = (own.lost + PRIOR * all.lost / all.tries) / (own.tries + PRIOR);
@@ -424,15 +421,14 @@
                 }
                 path.score = path.latency.map(|ms| ms + LOSS_MS * 100.0 * path.loss);
                 path.sum = Tally::default();
-                fresh.insert(id.clone());
             }
-            self.rank(name, zone, &fresh);
+            self.rank(name, zone);
         }
         (self.loss, self.latency) = (loss.unwrap_or(0.0), latency);
     }
 
     /// Moves hosts of one owner in and out of its leading group.
-    fn rank(&mut self, name: &ZoneId, zone: &mut Zone, fresh: &BTreeSet<HostId>) {
+    fn rank(&mut self, name: &ZoneId, zone: &mut Zone) {
         // If all exits fail the order stays (design page): losses that most hosts share say nothing of one
         // of them, and fewer hosts would only make an overload worse.
         if self.usual_loss(zone) >= COMMON_LOSS {
@@ -452,8 +448,7 @@
         let Some(lead) = lead.map(|s| s.0) else { return };
         let cooled = zone.moved_at.is_none_or(|at| self.now.since(at) >= COOLDOWN_S);
         let aim = self.tightest_aim_ms();
-        for (id, path) in zone.paths.iter_mut().filter(|(id, p)| fresh.contains(id) && p.state == Health::In)
-        {
+        for (id, path) in zone.paths.iter_mut().filter(|(_, p)| p.fresh && p.state == Health::In) {
             let Some(score) = path.score else { continue };
             let margin = MARGIN_MS.max(MARGIN_SHARE * score).max(AIM_MARGIN * aim);
             let lags = score >= lead + margin && path.step < LOWEST_STEP;
@@ -469,6 +464,31 @@
         }
     }
 
+    /// Locality, where crossing zones has a price: hosts of other zones keep as little of their weight as
+    /// leaves no zone's hosts far more than their part of the work; a busy or thinned-out zone spreads out.
+    fn localize(&self, zones: &mut Zones) {
+        let (mut parts, mut work, mut room) = (BTreeMap::new(), 0.0, 0.0);
+        for (name, zone) in zones.iter().filter(|_| self.set.cross_zone_price > 0.0) {
+            let mine = self.proxies.values().filter(|p| p.zone == *name);
+            let demand: f64 = mine.flat_map(|p| p.usage.values()).sum();
+            let taken = |id| zone.paths.get(id).is_none_or(|p| p.state == Health::In);
+            let own = self.fleet.iter().filter(|(id, h)| h.ready() && h.entry.zone == *name && taken(id));
+            let capacity: f64 = own.map(|(_, h)| h.weight * self.warmth(h)).sum();
+            (work, room) = (work + demand, room + capacity);
+            parts.insert(name.clone(), (demand, capacity, REMOTE));
+        }
+        loop {
+            // Work for a unit of capacity at home; hosts elsewhere get the remote part of it.
+            let home = |p: &(f64, f64, f64)| p.0 / work / (p.1 / room * (1.0 - p.2) + p.2);
+            let away: f64 = parts.values().map(|p| p.2 * home(p)).sum();
+            let load = |p: &(f64, f64, f64)| (1.0 - p.2) * home(p) + away;
+            let hot = parts.values_mut().filter(|p| p.2 < 1.0 && load(p) > BALANCE);
+            let Some(hottest) = hot.max_by(|a, b| load(a).total_cmp(&load(b))) else { break };
+            hottest.2 *= 2.0;
+        }
+        zones.iter_mut().for_each(|(name, zone)| zone.bias = parts.get(name).map_or(0.0, |p| 1.0 - p.2));
+    }
+
     // ---- 5. Health ---------------------------------------------------------------------------------------
     /// The fast path: takes out what loses or swallows its requests, zone by zone (a zone that is cut off
     /// must not withdraw a host for all), and tries it again after a while.
@@ -485,11 +505,8 @@
                     (path.stay_s, path.state) = (OUT_S, Health::Out(self.after(OUT_S)));
                 }
                 Health::Out(until) if self.now >= until => {
-                    *path = Path {
-                        state: Health::Trial(self.after(TRIAL_S)),
-                        stay_s: path.stay_s,
-                        ..Path::default()
-                    };
+                    let (state, stay_s) = (Health::Trial(self.after(TRIAL_S)), path.stay_s);
+                    *path = Path { state, stay_s, ..Path::default() };
                 }
                 Health::Trial(_) if path.streak >= 2.0 => {
                     path.stay_s = (2.0 * path.stay_s).min(OUT_LONGEST_S);
@@ -528,12 +545,8 @@
     /// Slow start: the share of its capacity that a host surely has by now (it rises at least evenly), and a
     /// quarter on top, far inside the budget. In eighths, so that a ramp does not cost a message a tick.
     fn warmth(&self, host: &Host) -> f64 {
-        let start = self.set.start_capacity;
-        let age =
-            host.entry.started.map_or(f64::MAX, |at| self.now.since(at)) / self.set.cold.secs().max(1e-3);
-        if age >= 1.0 {
-            return 1.0;
-        }
+        let (start, cold) = (self.set.start_capacity, self.set.cold.secs().max(1e-3));
+        let age = host.entry.started.map_or(f64::MAX, |at| self.now.since(at) / cold);
         ((RAMP * (start + (1.0 - start) * age)).min(1.0) * 8.0).floor().max(1.0) / 8.0
     }
 
@@ -542,8 +555,7 @@
     /// with it) times the capacity that is open, over the share let in when it was measured; so a drain or a
     /// cold start shows at once, and a cut is not repeated before it can be seen.
     fn levels(&mut self, zones: &Zones) {
-        let loss = self.loss;
-        let (mut capacity, mut seen, mut used) = (0.0, 0.0, 0.0);
+        let (loss, mut capacity, mut seen, mut used) = (self.loss, 0.0, 0.0, 0.0);
         let taken = |id| zones.values().any(|z| z.paths.get(id).is_some_and(|p| p.state == Health::In));
         for (_, host) in self.fleet.iter().filter(|(id, h)| h.ready() && taken(id)) {
             let open = host.weight * self.warmth(host);
@@ -555,10 +567,8 @@
             }
         }
         let Some(latency) = self.latency.filter(|_| capacity > 0.0) else { return };
-        let unloaded = self.unloaded_ms.map_or(latency, |known| known.min(latency));
-        self.unloaded_ms = Some(unloaded);
-        let wait = (latency - unloaded) / self.tightest_aim_ms();
-        let busy = if seen > 0.0 { used / seen } else { 0.0 };
+        let unloaded = *self.unloaded_ms.insert(self.unloaded_ms.map_or(latency, |known| known.min(latency)));
+        let (busy, wait) = (used / f64::max(seen, 1e-9), (latency - unloaded) / self.tightest_aim_ms());
         let load = busy.max(BUSY_AIM + wait - WAIT_AIM);
         self.strained = load >= BUSY_MOST || loss >= COMMON_LOSS;
         let lag = self.set.report_period.secs() + self.set.push_delay.secs() + 1.0;
@@ -632,8 +642,7 @@
         let (mut cold, mut full, mut warm) = (Vec::new(), 0.0, 0.0);
         let open = |h: &Host| h.ready() && self.groups[group].may_go(name, &h.entry);
         for (id, host) in self.fleet.iter().filter(|(_, h)| open(h)) {
-            let near = host.entry.zone == *name || self.set.cross_zone_price <= 0.0;
-            let base = host.weight * if near { 1.0 } else { REMOTE };
+            let base = host.weight * if host.entry.zone == *name { 1.0 } else { 1.0 - zone.bias };
             let warmth = self.warmth(host);
             let path = zone.paths.get(id);
             let factor = match path.map_or(Health::In, |p| p.state) {
@@ -692,21 +701,12 @@
             self.queued += lines + self.set.message_overhead;
             let Some(proxy) = self.proxies.get_mut(&id) else { continue };
             proxy.sent.push_back(self.now);
-            while proxy.sent.len() > self.set.messages_max as usize {
-                proxy.sent.pop_front();
-            }
+            proxy.sent.drain(..proxy.sent.len().saturating_sub(self.set.messages_max as usize));
         }
     }
 
-    /// Whether `lines` more to a zone's proxies may go now. Urgent orders may use more of the channel, so
-    /// that ordinary ones always leave room for a mass rejoin or a drain.
-    fn room(&self, urgency: Urgency, lines: f64, zone: &ZoneId) -> bool {
-        let (queue, messages) = match urgency {
-            Urgency::Drain => (0.9, 1.0),
-            Urgency::Bind => (0.75, 0.9),
-            Urgency::Health => (0.5, 0.7),
-            Urgency::Ordinary => (0.25, 0.4),
-        };
+    /// Whether `lines` more to a zone's proxies may go now.
+    fn room(&self, (queue, messages): (f64, f64), lines: f64, zone: &ZoneId) -> bool {
         let most = messages * self.set.messages_max as f64;
         let recent = |at: &&Micros| self.now.since(**at) <= self.set.messages_over.secs();
         let free = |p: &Proxy| most == 0.0 || p.sent.iter().filter(recent).count() as f64 + 1.0 <= most;
@@ -726,21 +726,21 @@
         let (plan, full) = self.plan(name, zone, group);
         let table = &mut zone.tables[group];
         table.full = full;
-        let mut urgency = Urgency::Ordinary;
+        let mut urgency = ORDINARY;
         let mut changes: Vec<(HostId, f64)> = Vec::new();
         for (id, weight) in &plan {
             let ordered = table.lines.get(id).copied().unwrap_or(0.0);
             if (weight / ordered - 1.0).abs() > 0.02 {
                 // A cold host must lose its old share at once: its budget runs from its start.
                 if ordered > *weight && self.warmth(&self.fleet[id]) < 1.0 {
-                    urgency = urgency.min(Urgency::Health);
+                    urgency = HEALTH;
                 }
                 changes.push((id.clone(), *weight));
             }
         }
         for id in table.lines.keys().filter(|id| !plan.contains_key(id)) {
-            let leaves = !self.fleet[id].ready();
-            urgency = urgency.min(if leaves { Urgency::Drain } else { Urgency::Health });
+            let why = if self.fleet[id].ready() { HEALTH } else { DRAIN };
+            urgency = if why > urgency { why } else { urgency };
             changes.push((id.clone(), 0.0));
         }
         let own = (0..self.set.classes.len()).filter(|at| self.groups[group].mask >> at & 1 == 1);
@@ -777,7 +777,7 @@
             let filled = || zones[&name].tables.iter().enumerate().filter(|(_, t)| !t.lines.is_empty());
             let lines: usize = filled().map(|(_, t)| 1 + t.lines.len() + t.levels.len()).sum();
             let cost = lines as f64 + self.set.message_overhead;
-            if lines == 0 || !self.room(Urgency::Bind, pending + cost, &name) {
+            if lines == 0 || !self.room(BIND, pending + cost, &name) {
                 continue;
             }
             pending += cost;
--- a/crates/wingfold-director/tests/ranking.rs
+++ b/crates/wingfold-director/tests/ranking.rs
@@ -123,3 +123,34 @@
     assert!(world.weight("east", "h2") < 1.0);
     assert_eq!(world.weight("west", "h2"), 1.0);
 }
+
+/// Hears the usage of each zone's proxy and lets a round pass; returns a remote host's part in each zone.
+fn remote_parts(east: u64, west: u64, price: f64) -> (f64, f64) {
+    let mut set = settings();
+    set.cross_zone_price = price;
+    let mut world = World::running(set, 8);
+    for _ in 0..6 {
+        let usage =
+            |proxy, total| Event::Usage(ProxyId(proxy), ClassId(0), Sums { total, lost: 0, over: at(1.0) });
+        world.send(&[usage(0, east), usage(1, west)]);
+        world.play(1.0, 10, |_, _| FINE);
+    }
+    (
+        world.weight("east", "h1") / world.weight("east", "h0"),
+        world.weight("west", "h0") / world.weight("west", "h1"),
+    )
+}
+
+#[test]
+fn where_crossing_has_a_price_hosts_of_other_zones_keep_a_quarter() {
+    assert_eq!(remote_parts(50, 50, 0.05), (0.25, 0.25));
+    assert_eq!(remote_parts(50, 50, 0.0), (1.0, 1.0));
+}
+
+#[test]
+fn a_busy_zone_spreads_further() {
+    // Guards against: few proxies with most of the traffic, whose own hosts drown while others idle.
+    let (busy, idle) = remote_parts(190, 10, 0.05);
+    assert!(busy > 0.25, "the busy zone spreads: {busy}");
+    assert_eq!(idle, 0.25, "the idle one need not");
+}
