--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -52,8 +52,9 @@
 const ASSUMED_LOAD: f64 = 0.75;
 /// A ramp's lead over the slowest warming allowed: few hosts are that slow.
 const RAMP: f64 = 1.25;
-/// Share of the usual weight that warm hosts must hold for cold ones to wait under strain.
+/// Share of the usual weight that warm hosts must hold for cold ones to wait, and warmth that ends it.
 const WARM_ENOUGH: f64 = 0.4;
+const WARM_PART: f64 = 0.7;
 /// Busy share of the cores that levels aim at, and where strain begins; the wait of an answer, as a share
 /// of the tightest aim, that goes with the former; least of a class that is always let in.
 const BUSY_AIM: f64 = 0.7;
@@ -668,17 +669,17 @@
         }
         let full = full.max(zone.tables[group].full);
         let rest: f64 = lines.iter().filter(|(id, _)| is_warm(id)).map(|(_, w)| w).sum();
-        // Cold hosts wait while the fleet is strained: proxies then avoid most other lines by their own
+        // Cold hosts wait while losses are common: proxies then avoid most other lines by their own
         // count of failures, and whatever the weights say, all of it would fall on the newcomer. Warm hosts
         // count by listed weight here: in a long strain the tables keep little of it.
-        let waits = warm >= WARM_ENOUGH * full && (self.strained || self.usual_loss(zone) >= COMMON_LOSS);
+        let waits = warm >= WARM_ENOUGH * full && self.usual_loss(zone) >= COMMON_LOSS;
         for (id, base, warmth) in cold.into_iter().filter(|_| rest > 0.0) {
             // Few hosts left: what the others no longer carry must not push a cold host over.
             let budget = self.set.overload_factor * warmth * COLD_USE / ASSUMED_LOAD;
             let share = (budget * base / full).min(0.9);
             let most = share / (1.0 - share) * rest;
             match lines.get(&id).copied() {
-                Some(_) if waits => drop(lines.remove(&id)),
+                Some(_) if waits && warmth < WARM_PART => drop(lines.remove(&id)),
                 Some(weight) if weight > most => drop(lines.insert(id, most)),
                 _ => {}
             }
