--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -57,7 +57,7 @@
 const WARM_PART: f64 = 0.7;
 /// Busy share of the cores that levels aim at, and where strain begins; the wait of an answer, as a share
 /// of the tightest aim, that goes with the former; least of a class that is always let in.
-const BUSY_AIM: f64 = 0.7;
+const BUSY_AIM: f64 = 0.65;
 const BUSY_MOST: f64 = 0.92;
 const WAIT_AIM: f64 = 0.2;
 const LEAST_LEVEL: f64 = 0.05;
