--- a/crates/wingfold-simhost/src/wire.rs
+++ b/crates/wingfold-simhost/src/wire.rs
@@ -329,3 +329,79 @@
     written.expect("writing to a string does not fail");
     out.push('\n');
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use wingfold_director::interface::{ClassMask, TableId};
+
+    fn written(one: Action) -> String {
+        let mut out = String::new();
+        action(&mut out, &one);
+        out
+    }
+
+    #[test]
+    fn every_action_is_written_as_the_protocol_has_it() {
+        let host = || HostId(Arc::from("10.144.17.242:7044"));
+        let mask = ClassMask(2);
+        let cases = [
+            (Action::Watch(true), "listen\t1\n"),
+            (Action::Watch(false), "listen\t0\n"),
+            (Action::FetchList, "get_list\n"),
+            (Action::Timer(Micros(8_912_250), 77), "timer\t8912250\t77\n"),
+            (Action::Probe(host()), "sample\t10.144.17.242:7044\n"),
+            (Action::Tell(None, b"hi 7".to_vec()), "broadcast_to\t-1\taGkgNw==\n"),
+            (Action::Tell(Some(2), Vec::new()), "broadcast_to\t2\t-\n"),
+            (Action::SetLine(TableId(117), host(), 0.75), "assign\t117\t10.144.17.242:7044\t0.75\n"),
+            (Action::SetLine(TableId(117), host(), 0.0), "assign\t117\t10.144.17.242:7044\t0\n"),
+            (Action::ClearTable(TableId(117)), "truncate\t117\n"),
+            (Action::Bind(ProxyId(41), TableId(117), ClassMask(0)), "bind\t41\t117\t0\n"),
+            (Action::Withdraw(host(), true), "hold_back\t1\t10.144.17.242:7044\n"),
+            (Action::Admit(Some(TableId(117)), mask, 0.75, Retry::OnProof), "allow\t2\t0.75\t117\t1\n"),
+            (Action::Admit(None, mask, 1.0, Retry::Never), "allow\t2\t1\t65535\t0\n"),
+            (Action::Admit(None, mask, 1.0, Retry::Once), "allow\t2\t1\t65535\t2\n"),
+            (Action::Admit(None, mask, 1.0, Retry::Twice), "allow\t2\t1\t65535\t3\n"),
+            (Action::Mark(false, 12), "ask_receipt\t0\t12\n"),
+            (Action::Log("two\tservers\nknown".into()), "debug\ttwo servers known\n"),
+        ];
+        for (action, line) in cases {
+            assert_eq!(written(action), line);
+        }
+    }
+
+    #[test]
+    fn every_event_is_read_into_its_own_terms() {
+        let names = Names {
+            classes: vec!["score".into(), "verdict".into()],
+            fields: vec!["cpu_share".into(), "busy_reqs".into(), "svc_ms".into(), "pending".into()],
+        };
+        let read = |line: &str| {
+            let mut fields = Fields::new(line);
+            let event = event(&mut fields, &names).expect(line);
+            fields.end().expect(line);
+            format!("{event:?}")
+        };
+        let cases = [
+            ("wakeup\t77", "Timer(77)"),
+            ("probe_result\t3\t9\th:1\t-", "TurnedAway"),
+            ("probe_result\t5\t9\th:1\t-", "Failed"),
+            ("probe_result\t1\t9\th:1\t0.62,7,14.5,-", "busy: Some(0.62), service_ms: Some(14.5)"),
+            ("message\t2\taGkgNw==", "Peer(2, [104, 105, 32, 55])"),
+            ("subscribed\tn\t6.5\t1\t41", "Joined(ProxyId(41), ZoneId(\"n\"), 6.5)"),
+            ("parted\t41", "Left(ProxyId(41))"),
+            (
+                "roundup\tn\th:1\t14\t1\t48250\t1000000\t-",
+                "Sums { total: 14, lost: 1, over: Micros(1000000) }",
+            ),
+            ("usage\t41\tverdict\t9\t0\t2000000", "Usage(ProxyId(41), ClassId(1)"),
+            ("installed\t41\t12\t412500", "Applied(ProxyId(41), 12, Micros(412500))"),
+            ("key_load\t117\tscore\t23\t2\t1000000", "Slice"),
+            ("charge\t117\t1", "Slice"),
+            ("held\th:1\t0.5\t117", "Slice"),
+        ];
+        for (line, part) in cases {
+            assert!(read(line).contains(part), "{line}: {}", read(line));
+        }
+    }
+}
