--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -52,9 +52,8 @@
 const ASSUMED_LOAD: f64 = 0.75;
 /// A ramp's lead over the slowest warming allowed: few hosts are that slow.
 const RAMP: f64 = 1.25;
-/// Share of the usual weight that warm hosts must hold for cold ones to wait, and warmth that ends it.
+/// Share of the usual weight that warm hosts must hold for cold ones to wait.
 const WARM_ENOUGH: f64 = 0.4;
-const WARM_PART: f64 = 0.7;
 /// Busy share of the cores that levels aim at, and where strain begins; the wait of an answer, as a share
 /// of the tightest aim, that goes with the former; least of a class that is always let in.
 const BUSY_AIM: f64 = 0.65;
@@ -183,8 +182,6 @@
     usage: BTreeMap<ClassId, f64>,
 }
 
-type Zones = BTreeMap<ZoneId, Zone>;
-
 /// One director's decisions.
 #[derive(Clone, Debug, Default)]
 pub struct Director {
@@ -195,7 +192,7 @@
     next_round: Micros,
     next_level: Micros,
     fleet: BTreeMap<HostId, Host>,
-    zones: Zones,
+    zones: BTreeMap<ZoneId, Zone>,
     proxies: BTreeMap<ProxyId, Proxy>,
     groups: Vec<Group>,
     /// Share of the work that is let in, and what it was when the present figures were measured.
@@ -209,7 +206,8 @@
     /// All work that is asked for, in units of listed weight.
     demand: f64,
     strained: bool,
-    /// Lines that wait in the channel, as modelled.
+    /// Lines ordered now by proxy, and lines that wait in the channel, as modelled.
+    touched: BTreeMap<ProxyId, f64>,
     queued: f64,
     queued_at: Micros,
     /// The list: asked for and not failed since, when to ask next, failures in a row.
@@ -395,7 +393,7 @@
     }
 
     // ---- 4. Ranking: the design --------------------------------------------------------------------------
-    fn round(&mut self, zones: &mut Zones) {
+    fn round(&mut self, zones: &mut BTreeMap<ZoneId, Zone>) {
         let mut whole: BTreeMap<HostId, Tally> = BTreeMap::new();
         for (id, Path { sum, .. }) in zones.values().flat_map(|zone| &zone.paths) {
             let all = whole.entry(id.clone()).or_default();
@@ -467,7 +465,7 @@
 
     /// Locality, where crossing zones has a price: hosts of other zones keep as little of their weight as
     /// leaves no zone's hosts far more than their part of the work; a busy or thinned-out zone spreads out.
-    fn localize(&self, zones: &mut Zones) {
+    fn localize(&self, zones: &mut BTreeMap<ZoneId, Zone>) {
         let (mut parts, mut work, mut room) = (BTreeMap::new(), 0.0, 0.0);
         for (name, zone) in zones.iter().filter(|_| self.set.cross_zone_price > 0.0) {
             let mine = self.proxies.values().filter(|p| p.zone == *name);
@@ -543,19 +541,23 @@
     }
 
     // ---- 6. Return ---------------------------------------------------------------------------------------
+    /// Time since a host's start, in cold times: under 1 it may still be cold, whatever its ramp says.
+    fn age(&self, host: &Host) -> f64 {
+        host.entry.started.map_or(f64::MAX, |at| self.now.since(at) / self.set.cold.secs().max(1e-3))
+    }
+
     /// Slow start: the share of its capacity that a host surely has by now (it rises at least evenly), and a
     /// quarter on top, far inside the budget. In eighths, so that a ramp does not cost a message a tick.
     fn warmth(&self, host: &Host) -> f64 {
-        let (start, cold) = (self.set.start_capacity, self.set.cold.secs().max(1e-3));
-        let age = host.entry.started.map_or(f64::MAX, |at| self.now.since(at) / cold);
-        ((RAMP * (start + (1.0 - start) * age)).min(1.0) * 8.0).floor().max(1.0) / 8.0
+        let surely = self.set.start_capacity + (1.0 - self.set.start_capacity) * self.age(host);
+        ((RAMP * surely).min(1.0) * 8.0).floor().max(1.0) / 8.0
     }
 
     // ---- 7. Levels and further tries ---------------------------------------------------------------------
     /// Lets less in while the hosts cannot do it all. Demand is the cores' busy share (or the wait that goes
     /// with it) times the capacity that is open, over the share let in when it was measured; so a drain or a
     /// cold start shows at once, and a cut is not repeated before it can be seen.
-    fn levels(&mut self, zones: &Zones) {
+    fn levels(&mut self, zones: &BTreeMap<ZoneId, Zone>) {
         let (loss, mut capacity, mut seen, mut used) = (self.loss, 0.0, 0.0, 0.0);
         let taken = |id| zones.values().any(|z| z.paths.get(id).is_some_and(|p| p.state == Health::In));
         for (_, host) in self.fleet.iter().filter(|(id, h)| h.ready() && taken(id)) {
@@ -656,14 +658,14 @@
             if factor > 0.0 {
                 lines.insert(id.clone(), base * factor.min(warmth));
             }
-            if warmth < 1.0 {
+            if self.age(host) < 1.0 {
                 cold.push((id.clone(), base, warmth));
             } else {
                 warm += base;
             }
         }
         // Never empty: whatever was judged above, a warm host that the list shows as ready stays.
-        let is_warm = |id: &HostId| self.warmth(&self.fleet[id]) >= 1.0;
+        let is_warm = |id: &HostId| self.age(&self.fleet[id]) >= 1.0;
         if !lines.keys().any(is_warm) && (lines.is_empty() || warm > 0.0) {
             lines = listed;
         }
@@ -679,7 +681,7 @@
             let share = (budget * base / full).min(0.9);
             let most = share / (1.0 - share) * rest;
             match lines.get(&id).copied() {
-                Some(_) if waits && warmth < WARM_PART => drop(lines.remove(&id)),
+                Some(_) if waits => drop(lines.remove(&id)),
                 Some(weight) if weight > most => drop(lines.insert(id, most)),
                 _ => {}
             }
@@ -687,18 +689,17 @@
         (lines, full)
     }
 
-    fn reconcile(&mut self, zones: &mut Zones, out: &mut Vec<Action>) {
+    fn reconcile(&mut self, zones: &mut BTreeMap<ZoneId, Zone>, out: &mut Vec<Action>) {
         let pace = CHANNEL_PACE * self.set.lines_per_s;
         self.queued = (self.queued - pace * self.now.since(self.queued_at)).max(0.0);
         self.queued_at = self.now;
-        let mut touched: BTreeMap<ProxyId, f64> = BTreeMap::new();
         for (name, zone) in zones.iter_mut() {
             for group in 0..self.groups.len() {
-                self.update(name, zone, group, &mut touched, out);
+                self.update(name, zone, group, out);
             }
         }
-        self.bind(zones, &mut touched, out);
-        for (id, lines) in touched {
+        self.bind(zones, out);
+        for (id, lines) in std::mem::take(&mut self.touched) {
             self.queued += lines + self.set.message_overhead;
             let Some(proxy) = self.proxies.get_mut(&id) else { continue };
             proxy.sent.push_back(self.now);
@@ -716,14 +717,7 @@
     }
 
     /// Sends a table's differences, if the most urgent of them may go now.
-    fn update(
-        &mut self,
-        name: &ZoneId,
-        zone: &mut Zone,
-        group: usize,
-        touched: &mut BTreeMap<ProxyId, f64>,
-        out: &mut Vec<Action>,
-    ) {
+    fn update(&mut self, name: &ZoneId, zone: &mut Zone, group: usize, out: &mut Vec<Action>) {
         let (plan, full) = self.plan(name, zone, group);
         let table = &mut zone.tables[group];
         table.full = full;
@@ -733,7 +727,7 @@
             let ordered = table.lines.get(id).copied().unwrap_or(0.0);
             if (weight / ordered - 1.0).abs() > 0.02 {
                 // A cold host must lose its old share at once: its budget runs from its start.
-                if ordered > *weight && self.warmth(&self.fleet[id]) < 1.0 {
+                if ordered > *weight && self.age(&self.fleet[id]) < 1.0 {
                     urgency = HEALTH;
                 }
                 changes.push((id.clone(), *weight));
@@ -766,12 +760,12 @@
             out.push(Action::Admit(Some(table.id), ClassMask(1 << class.0), level.0, level.1));
             table.levels.insert(class, level);
         }
-        users.iter().for_each(|id| *touched.entry(*id).or_default() += count);
+        users.iter().for_each(|id| *self.touched.entry(*id).or_default() += count);
     }
 
     /// Binds proxies that have joined, once, as soon as the channel has room.
-    fn bind(&mut self, zones: &Zones, touched: &mut BTreeMap<ProxyId, f64>, out: &mut Vec<Action>) {
-        let mut pending: f64 = touched.values().map(|lines| lines + self.set.message_overhead).sum();
+    fn bind(&mut self, zones: &BTreeMap<ZoneId, Zone>, out: &mut Vec<Action>) {
+        let mut pending: f64 = self.touched.values().map(|lines| lines + self.set.message_overhead).sum();
         let waiting = self.proxies.iter().filter(|(_, p)| !p.bound);
         for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
             let name = self.proxies[&id].zone.clone();
@@ -786,7 +780,7 @@
                 let mask = if self.groups.len() == 1 { 0 } else { self.groups[group].mask };
                 out.push(Action::Bind(id, table.id, ClassMask(mask)));
             }
-            *touched.entry(id).or_default() += lines as f64;
+            *self.touched.entry(id).or_default() += lines as f64;
             self.proxies.entry(id).and_modify(|p| p.bound = true);
         }
     }
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -188,6 +188,17 @@
     assert_eq!(world.weight("east", "h2"), 0.0);
 }
 
+#[test]
+fn a_host_is_cold_for_the_whole_cold_time_whatever_its_ramp_says() {
+    // Guards against: a machine that is slow besides cold, let in under strain when its ramp looks done.
+    let mut world = World::running(settings(), 10);
+    world.play(20.0, 10, |_, _| Manner { ms: 900.0, loss: 0.6 });
+    world.send(&[changes(vec![entry("h2", "east", Readiness::Ready, Some(world.now - 14.0))])]);
+    assert_eq!(world.weight("east", "h2"), 0.0, "14 s of 16 have passed");
+    world.play(4.0, 10, |_, _| Manner { ms: 900.0, loss: 0.6 });
+    assert!(world.weight("east", "h2") > 0.0, "the cold time is over");
+}
+
 #[test]
 fn a_level_recovers_when_hosts_stop_reporting() {
     // Guards against: hosts that get nothing report nothing, and their last busy share holds levels down.
