--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -50,8 +50,6 @@
 /// Use of a cold host's budget, and the fleet's load that is assumed where it is not known.
 const COLD_USE: f64 = 0.5;
 const ASSUMED_LOAD: f64 = 0.75;
-/// A ramp's lead over the slowest warming allowed: few hosts are that slow.
-const RAMP: f64 = 1.25;
 /// Share of the usual weight that warm hosts must hold for cold ones to wait.
 const WARM_ENOUGH: f64 = 0.4;
 /// Busy share of the cores that levels aim at, and where strain begins; the wait of an answer, as a share
@@ -546,11 +544,11 @@
         host.entry.started.map_or(f64::MAX, |at| self.now.since(at) / self.set.cold.secs().max(1e-3))
     }
 
-    /// Slow start: the share of its capacity that a host surely has by now (it rises at least evenly), and a
-    /// quarter on top, far inside the budget. In eighths, so that a ramp does not cost a message a tick.
+    /// Slow start: the share of its capacity that a host surely has by now: it rises at least evenly. In
+    /// eighths, so that a ramp does not cost a message a tick.
     fn warmth(&self, host: &Host) -> f64 {
         let surely = self.set.start_capacity + (1.0 - self.set.start_capacity) * self.age(host);
-        ((RAMP * surely).min(1.0) * 8.0).floor().max(1.0) / 8.0
+        (surely.min(1.0) * 8.0).floor().max(1.0) / 8.0
     }
 
     // ---- 7. Levels and further tries ---------------------------------------------------------------------
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -139,7 +139,7 @@
     let started = world.now - 1.0;
     while world.now - started < 16.0 {
         let sure = set.start_capacity + (1.0 - set.start_capacity) * (world.now - started) / set.cold.secs();
-        assert!(world.weight("east", "h2") <= 1.25 * sure + 1e-9, "at {}", world.now);
+        assert!(world.weight("east", "h2") <= sure + 1e-9, "at {}", world.now);
         assert!(world.weight("east", "h2") > 0.0);
         world.play(1.0, 10, |_, _| FINE);
     }
