--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -51,7 +51,7 @@
 const COLD_USE: f64 = 0.5;
 const ASSUMED_LOAD: f64 = 0.75;
 /// Share of the usual weight that warm hosts must hold for cold ones to wait.
-const WARM_ENOUGH: f64 = 0.4;
+const WARM_ENOUGH: f64 = 0.2;
 /// Busy share of the cores that levels aim at, and where strain begins; the wait of an answer, as a share
 /// of the tightest aim, that goes with the former; least of a class that is always let in.
 const BUSY_AIM: f64 = 0.65;
