--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -52,8 +52,8 @@
 const ASSUMED_LOAD: f64 = 0.75;
 /// Share of the usual weight that warm hosts must hold for cold ones to wait.
 const WARM_ENOUGH: f64 = 0.2;
-/// Busy share of the cores that levels aim at, and where strain begins; the wait of an answer, as a share
-/// of the tightest aim, that goes with the former; least of a class that is always let in.
+/// Busy share of the cores that levels aim at, and where they count as full; the wait of an answer, as a
+/// share of the tightest aim, that goes with the former; least of a class that is always let in.
 const BUSY_AIM: f64 = 0.65;
 const BUSY_MOST: f64 = 0.92;
 const WAIT_AIM: f64 = 0.2;
@@ -203,7 +203,6 @@
     unloaded_ms: Option<f64>,
     /// All work that is asked for, in units of listed weight.
     demand: f64,
-    strained: bool,
     /// Lines ordered now by proxy, and lines that wait in the channel, as modelled.
     touched: BTreeMap<ProxyId, f64>,
     queued: f64,
@@ -571,7 +570,6 @@
         let unloaded = *self.unloaded_ms.insert(self.unloaded_ms.map_or(latency, |known| known.min(latency)));
         let (busy, wait) = (used / f64::max(seen, 1e-9), (latency - unloaded) / self.tightest_aim_ms());
         let load = busy.max(BUSY_AIM + wait - WAIT_AIM);
-        self.strained = load >= BUSY_MOST || loss >= COMMON_LOSS;
         let lag = self.set.report_period.secs() + self.set.push_delay.secs() + 1.0;
         while self.let_in.len() > 1 && self.now.since(self.let_in[1].0) >= lag {
             self.let_in.pop_front();
@@ -672,7 +670,8 @@
         // Cold hosts wait while losses are common: proxies then avoid most other lines by their own
         // count of failures, and whatever the weights say, all of it would fall on the newcomer. Warm hosts
         // count by listed weight here: in a long strain the tables keep little of it.
-        let waits = warm >= WARM_ENOUGH * full && self.usual_loss(zone) >= COMMON_LOSS;
+        let common = || self.usual_loss(zone) >= COMMON_LOSS;
+        let waits = !cold.is_empty() && warm >= WARM_ENOUGH * full && common();
         for (id, base, warmth) in cold.into_iter().filter(|_| rest > 0.0) {
             // Few hosts left: what the others no longer carry must not push a cold host over.
             let budget = self.set.overload_factor * warmth * COLD_USE / ASSUMED_LOAD;
--- a/crates/wingfold-director/tests/common/mod.rs
+++ b/crates/wingfold-director/tests/common/mod.rs
@@ -181,5 +181,10 @@
     }
 }
 
+/// A line of sums with nothing lost.
+pub fn heard(place: &str, id: HostId, total: u64, secs: f64, load: Load) -> Event {
+    Event::Heard(zone(place), id, Sums { total, lost: 0, over: at(1.0) }, at(secs), load)
+}
+
 pub const FINE: Manner = Manner { ms: 100.0, loss: 0.0 };
 pub const DEAD: Manner = Manner { ms: 0.0, loss: 1.0 };
--- a/crates/wingfold-director/tests/ranking.rs
+++ b/crates/wingfold-director/tests/ranking.rs
@@ -77,15 +77,10 @@
     // A seldom-heard host reported one slow try; the rounds after it bring no news of that host.
     let mut world = World::running(settings(), 6);
     world.play(4.0, 10, |_, _| FINE);
-    let sums = Sums { total: 2, lost: 0, over: at(1.0) };
-    let heard = Event::Heard(zone("east"), host("h2"), sums, at(2.0), Load::default());
-    world.send(&[heard]);
+    world.send(&[heard("east", host("h2"), 2, 2.0, Load::default())]);
     for _ in 0..12 {
         world.wait(1.0);
-        let other = |id: &str| {
-            let sums = Sums { total: 1, lost: 0, over: at(1.0) };
-            Event::Heard(zone("east"), host(id), sums, at(0.1), Load::default())
-        };
+        let other = |id: &str| heard("east", host(id), 1, 0.1, Load::default());
         world.send(&[other("h0"), other("h1")]);
     }
     assert_eq!(world.weight("east", "h2"), 1.0);
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -64,9 +64,7 @@
     for _ in 0..5 {
         world.wait(1.0);
         let lines = world.lines("east").into_keys().filter(|id| *id != host("h2"));
-        let sums = Sums { total: 5, lost: 0, over: at(1.0) };
-        let events: Vec<Event> =
-            lines.map(|id| Event::Heard(zone("east"), id, sums, at(0.1), Load::default())).collect();
+        let events: Vec<Event> = lines.map(|id| heard("east", id, 5, 0.1, Load::default())).collect();
         world.send(&events);
     }
     assert_eq!(world.weight("east", "h2"), 0.0);
@@ -203,19 +201,17 @@
 fn a_level_recovers_when_hosts_stop_reporting() {
     // Guards against: hosts that get nothing report nothing, and their last busy share holds levels down.
     let mut world = World::running(settings(), 6);
-    let heard = |world: &World, only: Option<&str>, busy: f64| -> Vec<Event> {
-        let sums = Sums { total: 10, lost: 0, over: at(1.0) };
+    let reports = |world: &World, only: Option<&str>, busy: f64| -> Vec<Event> {
         let load = Load { busy: Some(busy), ..Load::default() };
         let lines = world.lines("east").into_keys().filter(|id| only.is_none_or(|o| *id.0 == *o));
-        let mut events: Vec<Event> =
-            lines.map(|id| Event::Heard(zone("east"), id, sums, at(0.1), load)).collect();
+        let mut events: Vec<Event> = lines.map(|id| heard("east", id, 10, 0.1, load)).collect();
         events.push(Event::Usage(ProxyId(0), ClassId(0), Sums { total: 90, lost: 0, over: at(1.0) }));
         events.push(Event::Usage(ProxyId(0), ClassId(1), Sums { total: 10, lost: 0, over: at(1.0) }));
         events
     };
     for _ in 0..12 {
         world.wait(1.0);
-        let events = heard(&world, None, 1.0);
+        let events = reports(&world, None, 1.0);
         world.send(&events);
     }
     let table = world.table("east");
@@ -223,7 +219,7 @@
     assert_eq!(world.levels[&(table, 2)].0, 1.0, "the class worth most is not");
     for _ in 0..30 {
         world.wait(1.0);
-        let events = heard(&world, Some("h0"), 0.1);
+        let events = reports(&world, Some("h0"), 0.1);
         world.send(&events);
     }
     assert_eq!(world.levels[&(table, 1)].0, 1.0);
