Read load reports by the settings' names; test tables and the program over sockets

Ruled out: time-outs, wrong addresses, missing bodies. Both hosts now name the values in one place (put_load in wingfold-settings).

Tables are played into a model proxy, also with random orders; the program is started and spoken to over sockets. The log shows the main figures every ten seconds and no longer says twice that a stream ended.

--- /dev/null
+++ b/crates/wingfold-node/examples/standin.rs
@@ -0,0 +1,45 @@
+//! A small deployment to try the director against: discovery and three hosts on 127.0.0.1, and one proxy that joins
+//! and shows the orders it gets. `cargo run --example standin` tells how to start the director beside it.
+
+#[path = "../tests/common/standin.rs"]
+mod standin;
+
+use serde_json::{json, Value};
+use standin::{config, server, Discovery, Host};
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::time::Duration;
+
+fn main() -> std::io::Result<()> {
+    let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let host =
+        |id: &str, zone: &str| server(id, Host::start(ip, Some(r#"{"inflight":1,"util":0.2}"#)).addr, zone);
+    let entries = vec![host("s-1", "a"), host("s-2", "a"), host("s-3", "b")];
+    let discovery = Discovery::at(SocketAddr::new(ip, 8500), entries);
+    let listen = SocketAddr::new(ip, 8443);
+    let path = std::env::args().nth(1).unwrap_or("target/standin.json".into());
+    std::fs::write(&path, format!("{:#}\n", config(listen, discovery.addr, discovery.known())))?;
+    println!("discovery and three hosts are up; start the director with");
+    println!("    GW_CONFIG={path} target/release/wingfold");
+    loop {
+        if let Err(error) = join(listen) {
+            println!("proxy 0: {error}; it dials again");
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+}
+
+/// Joins as proxy 0 and prints what comes, until the stream ends.
+fn join(listen: SocketAddr) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(listen)?;
+    let message = json!({"type": "SUBSCRIBE", "id": 0, "site": "a", "rps": 5.0, "new": true}).to_string();
+    stream.write_all(&(message.len() as u32).to_be_bytes())?;
+    stream.write_all(message.as_bytes())?;
+    loop {
+        let mut head = [0; 4];
+        stream.read_exact(&mut head)?;
+        let mut body = vec![0; u32::from_be_bytes(head) as usize];
+        stream.read_exact(&mut body)?;
+        println!("proxy 0: {}", serde_json::from_slice::<Value>(&body)?);
+    }
+}
--- a/crates/wingfold-node/src/book.rs
+++ b/crates/wingfold-node/src/book.rs
@@ -103,6 +103,26 @@
     }};
 }
 
+impl Book {
+    /// Writes the main figures to the log, as one line.
+    pub fn log(&self) {
+        tracing::info!(
+            joined = self.streams_joined.get(),
+            messages_in = self.messages_in_total.get(),
+            messages_bad = self.messages_bad_total.get(),
+            messages_out = self.messages_out_total.get(),
+            lines_out = self.lines_out_total.get(),
+            channel_most = self.channel_lines_most.get(),
+            list_version = self.list_version.get(),
+            list_failures = self.list_failures_total.get(),
+            probes = self.probes_total.get(),
+            probes_failed = self.probes_failed_total.get(),
+            invariants_broken = self.invariants_broken_total.get(),
+            "figures"
+        );
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/wingfold-node/src/engine.rs
+++ b/crates/wingfold-node/src/engine.rs
@@ -125,7 +125,6 @@
                 // The end of a stream that a newer one has replaced was told when that came.
                 if self.links.get(&proxy).is_some_and(|link| link.number == number) {
                     self.links.remove(&proxy);
-                    tracing::info!(proxy = proxy.0, "left");
                     self.left(proxy, events);
                 }
             }
--- a/crates/wingfold-node/src/http.rs
+++ b/crates/wingfold-node/src/http.rs
@@ -17,7 +17,7 @@
     #[error("not an address: {0}")]
     Address(#[from] hyper::http::uri::InvalidUri),
     /// No connection, or it broke.
-    #[error("no answer: {0}")]
+    #[error("no answer: {}", innermost(.0))]
     Broken(#[from] hyper_util::client::legacy::Error),
     /// The answer broke off, or was too long.
     #[error("answer broken off: {0}")]
@@ -27,6 +27,15 @@
     Late,
 }
 
+/// What lies at the bottom of an error: "connection refused" tells more than "client error".
+fn innermost(error: &dyn std::error::Error) -> String {
+    let mut inner = error;
+    while let Some(source) = inner.source() {
+        inner = source;
+    }
+    inner.to_string()
+}
+
 /// A client; connections are kept for the next call.
 #[derive(Clone, Debug)]
 pub struct Http {
--- a/crates/wingfold-node/src/lib.rs
+++ b/crates/wingfold-node/src/lib.rs
@@ -39,6 +39,9 @@
 use wingfold_director::interface::ListKind;
 use wingfold_director::Director;
 
+/// The log shows the main figures so often: `/metrics` has all of them, but not those of a director that is gone.
+const FIGURES_EVERY: std::time::Duration = std::time::Duration::from_secs(10);
+
 /// Why a director ended without being asked to.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -101,7 +104,7 @@
         post: post.clone(),
         addresses: list::Addresses::default(),
         channel,
-        book,
+        book: book.clone(),
         links: Default::default(),
         timers: Default::default(),
     };
@@ -109,6 +112,13 @@
         inbox.put(inbox::News::List(ListKind::Remembered, known));
     }
     tracing::info!(name = config.name, listen = %config.listen, "serving");
+    let figures = book.clone();
+    let report = async {
+        loop {
+            tokio::time::sleep(FIGURES_EVERY).await;
+            figures.log();
+        }
+    };
     let receive = async {
         match post {
             Some(post) => post.receive(inbox).await,
@@ -130,6 +140,7 @@
         ended = tokio::spawn(discovery.run(asked)) => ended,
         ended = tokio::spawn(accept::serve(listener, door)) => ended,
         () = receive => Ok(()),
+        () = report => Ok(()),
     };
     Err(RunError::Ended(ended.map_or_else(|error| error.to_string(), |()| "no reason told".into())))
 }
--- a/crates/wingfold-node/src/message.rs
+++ b/crates/wingfold-node/src/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use wingfold_director::interface::{Load, Micros, Sums};
 
@@ -30,19 +31,16 @@
     pub site: Arc<str>,
 }
 
-/// A host's report of its load; other keys are ignored.
+/// A host's report of its load.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
-pub struct LoadReport {
-    inflight: Option<f64>,
-    queue: Option<f64>,
-    util: Option<f64>,
-    latency_ms: Option<f64>,
-}
+#[serde(from = "BTreeMap<String, serde_json::Value>")]
+pub struct LoadReport(pub Load);
 
-impl From<LoadReport> for Load {
-    fn from(report: LoadReport) -> Self {
-        let LoadReport { inflight, queue, util, latency_ms } = report;
-        Load { in_hand: inflight, waiting: queue, busy: util, service_ms: latency_ms }
+impl From<BTreeMap<String, serde_json::Value>> for LoadReport {
+    fn from(report: BTreeMap<String, serde_json::Value>) -> Self {
+        let mut load = Load::default();
+        report.iter().for_each(|(name, value)| wingfold_settings::put_load(&mut load, name, value.as_f64()));
+        LoadReport(load)
     }
 }
 
@@ -73,7 +71,7 @@
     }
     /// The latest load report; nothing where there is none.
     pub fn load(&self) -> Load {
-        self.util.unwrap_or_default().into()
+        self.util.unwrap_or_default().0
     }
 }
 
@@ -230,6 +228,10 @@
         assert_eq!(heard.mean(), Micros(41_700));
         let load = Load { in_hand: Some(7.0), busy: Some(0.61), ..Load::default() };
         assert_eq!(heard.load(), load);
+        // Seen on sockets: reports use the words of the settings' `report.fields`.
+        let report: LoadReport =
+            serde_json::from_slice(br#"{"cpu_share":0.198,"busy_reqs":1.991,"x":[]}"#).unwrap();
+        assert_eq!(report.0, Load { in_hand: Some(1.991), busy: Some(0.198), ..Load::default() });
         let joined = decode(br#"{"type":"SUBSCRIBE","id":17,"site":"a","rps":21.5,"new":true}"#);
         assert!(matches!(joined, Ok(Inbound::Subscribe(s)) if s.id == 17 && s.rps == 21.5));
         let ack = decode(br#"{"type":"ACK","id":17,"seq":905,"ms":310.4}"#);
--- a/crates/wingfold-node/src/probe.rs
+++ b/crates/wingfold-node/src/probe.rs
@@ -67,7 +67,7 @@
         };
         // A deployment without reports answers with no body, or with one that says something else.
         match serde_json::from_slice::<LoadReport>(&body) {
-            Ok(report) => (outcome, report.into()),
+            Ok(report) => (outcome, report.0),
             Err(_) if body.is_empty() => (outcome, Load::default()),
             Err(_) => failed,
         }
--- a/crates/wingfold-node/src/tables.rs
+++ b/crates/wingfold-node/src/tables.rs
@@ -5,6 +5,9 @@
 //! that its own proxy holds, class by class. Here stands what each table holds, who is bound to which, and what
 //! each stream was last told, and only what differs is written.
 
+#[cfg(test)]
+mod tests;
+
 use crate::message::{Admit, Config};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- /dev/null
+++ b/crates/wingfold-node/tests/common/mod.rs
@@ -0,0 +1,289 @@
+//! Starts the program with stand-ins around it, each on a loopback address that no other test uses, and speaks to
+//! it as proxies, collectors and strangers do.
+#![allow(dead_code)] // Each test file uses a part of this.
+
+mod standin;
+
+pub use standin::*;
+
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Every wait on a condition ends in a failure after this; a condition that holds is seen long before.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until something is so.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "not seen in time: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A director to be started: its addresses and its configuration.
+pub struct Plan {
+    pub listen: SocketAddr,
+    pub config: Value,
+}
+
+impl Plan {
+    pub fn new(ip: IpAddr, discovery: SocketAddr, known: Value) -> Self {
+        let (listen, peer, all) = (free(ip), free(ip), free(ip));
+        let other = free(ip);
+        let mut config = config(listen, discovery, known);
+        config["peer_listen"] = json!(peer.to_string());
+        config["peers"] = json!([peer.to_string(), other.to_string()]);
+        config["peers_all"] = json!(all.to_string());
+        Plan { listen, config }
+    }
+
+    /// Starts the program and waits until it answers.
+    pub fn start(&self) -> Director {
+        let director = self.launch(&self.config.to_string(), true);
+        until("the director answers", || Party::reach(self.listen).is_some_and(|mut party| party.ping()));
+        director
+    }
+
+    /// Starts the program with a configuration's text.
+    pub fn launch(&self, text: &str, reads_log: bool) -> Director {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("config-{}-{number}.json", std::process::id());
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::write(&path, text).unwrap();
+        Director::spawn(self.listen, Some(path), reads_log)
+    }
+}
+
+/// The program, running.
+pub struct Director {
+    pub listen: SocketAddr,
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+    config: Option<PathBuf>,
+}
+
+impl Director {
+    pub fn spawn(listen: SocketAddr, config: Option<PathBuf>, reads_log: bool) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wingfold"));
+        command.env_clear().stdin(Stdio::null()).stderr(Stdio::piped());
+        if let Some(path) = &config {
+            command.env("GW_CONFIG", path);
+        }
+        let mut child = command.spawn().unwrap();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        if reads_log {
+            let (lines, stderr) = (log.clone(), BufReader::new(child.stderr.take().unwrap()));
+            thread::spawn(move || {
+                stderr.lines().map_while(Result::ok).for_each(|l| lines.lock().unwrap().push(l))
+            });
+        }
+        Director { listen, child, log, config }
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn log(&self) -> String {
+        self.log.lock().unwrap().join("\n")
+    }
+
+    pub fn is_up(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Waits for its end.
+    pub fn end(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("the program ends", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.pid());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    /// Opens a connection.
+    pub fn connect(&self) -> Party {
+        Party::reach(self.listen).expect("the director takes connections")
+    }
+
+    /// A proxy that has joined.
+    pub fn proxy(&self, id: u32, zone: &str) -> Party {
+        let mut party = self.connect();
+        party.say(&json!({"type": "SUBSCRIBE", "id": id, "site": zone, "rps": 5.0, "new": true}));
+        party
+    }
+
+    /// A collector that has named its zone.
+    pub fn collector(&self, zone: &str) -> Party {
+        let mut party = self.connect();
+        party.say(&json!({"type": "SOURCE", "site": zone}));
+        party
+    }
+
+    /// An HTTP page of the director.
+    pub fn page(&self, page: &str) -> String {
+        let mut connection = TcpStream::connect(self.listen).unwrap();
+        connection.set_read_timeout(Some(PATIENCE)).unwrap();
+        write!(connection, "GET {page} HTTP/1.1\r\nhost: d\r\nconnection: close\r\n\r\n").unwrap();
+        let mut text = String::new();
+        connection.read_to_string(&mut text).unwrap();
+        text
+    }
+
+    /// A figure of `/metrics`.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (text, start) = (self.page("/metrics"), format!("wingfold_{name} "));
+        let value = text.lines().find_map(|line| line.strip_prefix(&start));
+        value.unwrap_or_else(|| panic!("no figure {name} in {text}")).parse().unwrap()
+    }
+
+    /// Descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.pid())).unwrap().count()
+    }
+
+    /// Memory that the process holds, in KiB.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+}
+
+impl Drop for Director {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if let Some(path) = &self.config {
+            let _ = std::fs::remove_file(path);
+        }
+        if thread::panicking() {
+            eprintln!("the director's log:\n{}", self.log());
+        }
+    }
+}
+
+/// A connection to the director, of a proxy, a collector or a stranger.
+pub struct Party {
+    pub stream: TcpStream,
+}
+
+impl Party {
+    pub fn reach(listen: SocketAddr) -> Option<Party> {
+        let stream = TcpStream::connect(listen).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Some(Party { stream })
+    }
+
+    pub fn frame(message: &Value) -> Vec<u8> {
+        let text = message.to_string();
+        [&(text.len() as u32).to_be_bytes()[..], text.as_bytes()].concat()
+    }
+
+    pub fn say(&mut self, message: &Value) {
+        self.stream.write_all(&Self::frame(message)).unwrap();
+    }
+
+    /// The next message; `None` once the connection has ended.
+    pub fn hear(&mut self) -> Option<Value> {
+        let mut head = [0; 4];
+        self.stream.read_exact(&mut head).ok()?;
+        let mut body = vec![0; u32::from_be_bytes(head) as usize];
+        self.stream.read_exact(&mut body).ok()?;
+        Some(serde_json::from_slice(&body).unwrap())
+    }
+
+    /// Whether the director answers a `PING`, orders that come first passed over.
+    pub fn ping(&mut self) -> bool {
+        self.say(&json!({"type": "PING"}));
+        loop {
+            match self.hear() {
+                Some(message) if message["type"] == "PONG" => return true,
+                Some(_) => continue,
+                None => return false,
+            }
+        }
+    }
+
+    /// The next orders: all parts of one message.
+    pub fn orders(&mut self) -> Vec<Value> {
+        let mut parts = Vec::new();
+        loop {
+            let part = self.hear().expect("orders, not the end of the stream");
+            assert_eq!(part["type"], "CONFIG");
+            let more = part["more"] == true;
+            parts.push(part);
+            if !more {
+                return parts;
+            }
+        }
+    }
+
+    /// Whether the director has ended the connection.
+    pub fn is_over(&mut self) -> bool {
+        let begun = Instant::now();
+        while self.hear().is_some() {}
+        begun.elapsed() < PATIENCE
+    }
+}
+
+/// What a proxy holds after orders: the table and the level of each class. It refuses what a proxy refuses.
+#[derive(Debug, Default, PartialEq)]
+pub struct Held {
+    pub lines: BTreeMap<String, BTreeMap<String, f64>>,
+    pub levels: BTreeMap<String, (f64, u64)>,
+}
+
+impl Held {
+    pub fn apply(&mut self, parts: &[Value]) {
+        let words = |value: &Value| -> Vec<String> {
+            value.as_array().into_iter().flatten().map(|v| v.as_str().unwrap().to_string()).collect()
+        };
+        for part in parts {
+            let named = words(&part["classes"]);
+            let classes = if named.is_empty() { vec!["lookup".into(), "order".into()] } else { named };
+            for class in classes {
+                let table = self.lines.entry(class.clone()).or_default();
+                if part["whole"] == true {
+                    table.clear();
+                    self.levels.remove(&class);
+                }
+                for line in part["lines"].as_array().into_iter().flatten() {
+                    let (host, weight) = (line[0].as_str().unwrap(), line[1].as_f64().unwrap());
+                    assert!(weight >= 0.0);
+                    match weight > 0.0 {
+                        true => table.insert(host.into(), weight),
+                        false => table.remove(host),
+                    };
+                }
+                assert_eq!(part["level"].is_null(), part["retry"].is_null(), "level and retry come together");
+                if let Some(level) = part["level"].as_f64() {
+                    assert!(level >= 0.0);
+                    self.levels.insert(class, (level, part["retry"].as_u64().unwrap()));
+                }
+            }
+        }
+    }
+
+    /// The hosts of a class's table.
+    pub fn hosts(&self, class: &str) -> Vec<&str> {
+        self.lines.get(class).into_iter().flatten().map(|line| line.0.as_str()).collect()
+    }
+}
--- /dev/null
+++ b/crates/wingfold-node/tests/relays.rs
@@ -0,0 +1,163 @@
+//! Discovery, hosts and peers as the program meets them: good, failing, garbled, silent.
+
+mod common;
+
+use common::{free, own_ip, server, settings, until, Discovery, Held, Host, Mood, Plan};
+use serde_json::json;
+use std::net::UdpSocket;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+const REPORT: Option<&str> = Some(r#"{"util":0.2,"inflight":1,"later":"x"}"#);
+
+#[test]
+fn a_drain_that_the_watch_tells_takes_the_host_out() {
+    let ip = own_ip();
+    let host = || Host::start(ip, REPORT).addr;
+    let entries = vec![server("s-1", host(), "a"), server("s-2", host(), "a"), server("s-3", host(), "a")];
+    let discovery = Discovery::start(ip, entries);
+    let director = Plan::new(ip, discovery.addr, discovery.known()).start();
+    let mut proxy = director.proxy(0, "a");
+    let mut held = Held::default();
+    held.apply(&proxy.orders());
+    assert_eq!(held.hosts("order"), ["s-1", "s-2", "s-3"]);
+    discovery.turn("s-2", "leaving");
+    while held.hosts("order").contains(&"s-2") {
+        held.apply(&proxy.orders());
+    }
+    assert_eq!(held.hosts("lookup"), ["s-1", "s-3"]);
+    let calls = discovery.calls();
+    assert_eq!(calls[0], "/v1/endpoints?after=3&wait_ms=0", "the first call does not wait");
+    assert!(calls[1..].iter().all(|call| call.contains("wait_ms=2000")), "half of ask_within: {calls:?}");
+}
+
+#[test]
+fn a_director_that_remembers_an_old_list_catches_up() {
+    let ip = own_ip();
+    let host = || Host::start(ip, REPORT).addr;
+    let discovery = Discovery::start(ip, vec![server("s-1", host(), "a"), server("s-2", host(), "a")]);
+    let known = discovery.known();
+    discovery.turn("s-1", "left");
+    discovery.list(server("s-3", host(), "a"));
+    let director = Plan::new(ip, discovery.addr, known).start();
+    let mut proxy = director.proxy(0, "a");
+    let mut held = Held::default();
+    while held.hosts("order") != ["s-2", "s-3"] {
+        held.apply(&proxy.orders());
+    }
+    // Killed outright and started anew with that list, it serves the same proxy again.
+    drop(proxy);
+    director.signal("KILL");
+    drop(director);
+    let director = Plan::new(ip, discovery.addr, discovery.known()).start();
+    let mut held = Held::default();
+    held.apply(&director.proxy(0, "a").orders());
+    assert!(held.hosts("order").contains(&"s-2"));
+}
+
+#[test]
+fn a_director_that_remembers_nothing_asks_for_the_whole_list() {
+    let ip = own_ip();
+    let discovery = Discovery::start(ip, vec![server("s-1", Host::start(ip, REPORT).addr, "a")]);
+    let mut plan = Plan::new(ip, discovery.addr, json!(null));
+    plan.config.as_object_mut().unwrap().remove("known");
+    let director = plan.start();
+    assert_eq!(director.proxy(0, "a").orders()[0]["whole"], true);
+    assert_eq!(discovery.calls()[0], "/v1/endpoints");
+}
+
+#[test]
+fn failed_garbled_and_silent_calls_change_nothing_and_are_asked_again() {
+    let ip = own_ip();
+    let host = || Host::start(ip, REPORT).addr;
+    let discovery = Discovery::start(ip, vec![server("s-1", host(), "a"), server("s-2", host(), "a")]);
+    let director = Plan::new(ip, discovery.addr, discovery.known()).start();
+    let mut proxy = director.proxy(0, "a");
+    proxy.orders();
+    for mood in [Mood::Down, Mood::Garbled, Mood::Silent] {
+        let before = director.figure("list_failures_total");
+        discovery.mood(mood);
+        until("the module is told twice", || director.figure("list_failures_total") >= before + 2);
+        assert!(proxy.ping(), "{mood:?}");
+    }
+    assert_eq!(director.figure("list_version"), 2, "no garbled answer was taken, in part or whole");
+    discovery.mood(Mood::Good);
+    discovery.turn("s-2", "leaving");
+    let mut held = Held::default();
+    while !held.lines.contains_key("order") {
+        held.apply(&proxy.orders());
+    }
+    assert!(director.log().contains("discovery: call failed"));
+}
+
+#[test]
+fn discovery_that_nobody_answers_for_keeps_no_director_from_serving() {
+    let ip = own_ip();
+    let known = Discovery::start(ip, vec![server("s-1", Host::start(ip, REPORT).addr, "a")]).known();
+    let director = Plan::new(ip, free(ip), known).start();
+    assert_eq!(director.proxy(0, "a").orders()[0]["whole"], true, "from what it remembers");
+    until("the failure is counted", || director.figure("list_failures_total") > 0);
+}
+
+#[test]
+fn hosts_are_probed_and_a_silent_one_holds_no_other_up() {
+    let ip = own_ip();
+    let (good, silent) = (Host::start(ip, REPORT), Host::start(ip, None));
+    let strange = Host::start(ip, Some("<html>"));
+    let dead = free(ip);
+    let entries = vec![
+        server("s-1", good.addr, "a"),
+        server("s-2", silent.addr, "a"),
+        server("s-3", strange.addr, "b"),
+        server("s-4", dead, "b"),
+    ];
+    let discovery = Discovery::start(ip, entries);
+    let director = Plan::new(ip, discovery.addr, discovery.known()).start();
+    let probes = |host: &Host| host.probes.load(Ordering::Relaxed);
+    until("three rounds of probes", || probes(&good) >= 3 && probes(&silent) >= 3 && probes(&strange) >= 3);
+    until("each bad one is counted", || director.figure("probes_failed_total") >= 9);
+    let all = director.figure("probes_total");
+    assert!(director.figure("probes_failed_total") < all);
+}
+
+#[test]
+fn datagrams_are_taken_from_peers_alone_and_no_longer_than_allowed() {
+    let ip = own_ip();
+    let discovery = Discovery::start(ip, vec![server("s-1", Host::start(ip, REPORT).addr, "a")]);
+    let plan = Plan::new(ip, discovery.addr, discovery.known());
+    let director = plan.start();
+    let to = plan.config["peer_listen"].as_str().unwrap();
+    let peer = UdpSocket::bind(plan.config["peers"][1].as_str().unwrap()).unwrap();
+    let stranger = UdpSocket::bind((ip, 0)).unwrap();
+    peer.send_to(&[7; 256], to).unwrap();
+    peer.send_to(&[], to).unwrap();
+    peer.send_to(&[7; 257], to).unwrap();
+    stranger.send_to(&[7; 10], to).unwrap();
+    until("two are taken", || director.figure("datagrams_in_total") == 2);
+    until("two are not", || director.figure("datagrams_bad_total") == 2);
+}
+
+#[test]
+fn directors_without_peers_open_no_socket_for_them() {
+    let ip = own_ip();
+    let discovery = Discovery::start(ip, vec![server("s-1", Host::start(ip, REPORT).addr, "a")]);
+    let mut plan = Plan::new(ip, discovery.addr, discovery.known());
+    plan.config["settings"] = settings();
+    plan.config["settings"]["policy_limits"]["peers"] = json!(false);
+    let _director = plan.start();
+    let address = plan.config["peer_listen"].as_str().unwrap();
+    UdpSocket::bind(address).expect("nobody listens there");
+}
+
+#[test]
+fn a_call_that_falls_silent_is_found_out_inside_the_time_to_ask_again() {
+    let ip = own_ip();
+    let discovery = Discovery::start(ip, vec![server("s-1", Host::start(ip, REPORT).addr, "a")]);
+    let director = Plan::new(ip, discovery.addr, discovery.known()).start();
+    until("the watch waits", || discovery.calls().len() >= 2);
+    discovery.mood(Mood::Silent);
+    let begun = Instant::now();
+    until("it is found out", || director.figure("list_failures_total") == 1);
+    // Half of `ask_within` for the wait that was under way, and a quarter of it for an answer.
+    assert!(begun.elapsed().as_millis() < 4000, "{:?}", begun.elapsed());
+}
--- /dev/null
+++ b/crates/wingfold-node/tests/streams.rs
@@ -0,0 +1,229 @@
+//! Proxies and collectors at the program's listener: joining, orders, and all that a connection can do wrong.
+
+mod common;
+
+use common::{own_ip, server, until, Director, Discovery, Held, Host, Party, Plan};
+use serde_json::json;
+use std::io::Write;
+use std::net::{IpAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const REPORT: Option<&str> = Some(r#"{"util":0.2,"inflight":1}"#);
+
+/// Four hosts in two zones, and a director that remembers them.
+fn world(ip: IpAddr) -> (Discovery, Plan) {
+    let host = || Host::start(ip, REPORT).addr;
+    let entries = vec![
+        server("s-1", host(), "a"),
+        server("s-2", host(), "a"),
+        server("s-3", host(), "b"),
+        server("s-4", host(), "b"),
+    ];
+    let discovery = Discovery::start(ip, entries);
+    let plan = Plan::new(ip, discovery.addr, discovery.known());
+    (discovery, plan)
+}
+
+fn director() -> (Discovery, Director) {
+    let (discovery, plan) = world(own_ip());
+    let director = plan.start();
+    (discovery, director)
+}
+
+#[test]
+fn a_proxy_that_joins_is_sent_its_whole_table_as_one_message() {
+    let (_discovery, director) = director();
+    let mut proxy = director.proxy(3, "a");
+    let parts = proxy.orders();
+    assert_eq!(parts[0]["whole"], true);
+    let mut held = Held::default();
+    held.apply(&parts);
+    for class in ["lookup", "order"] {
+        let hosts = held.hosts(class);
+        assert!(["s-1", "s-2"].iter().all(|own| hosts.contains(own)), "its zone's hosts: {hosts:?}");
+        let (level, retry) = held.levels[class];
+        assert!(level > 0.0 && retry <= 1, "a level with a safe way of trying again");
+    }
+    assert!(proxy.ping(), "a joined proxy's PING is answered");
+    assert_eq!(director.figure("streams_joined"), 1);
+    assert_eq!(director.figure("invariants_broken_total"), 0);
+}
+
+#[test]
+fn bytes_that_arrive_one_by_one_make_the_same_messages() {
+    let (discovery, plan) = world(own_ip());
+    discovery.piece(7);
+    let director = plan.start();
+    let mut proxy = director.connect();
+    let joins = json!({"type": "SUBSCRIBE", "id": 0, "site": "b", "rps": 2.0, "new": true});
+    for byte in Party::frame(&joins) {
+        proxy.stream.write_all(&[byte]).unwrap();
+    }
+    assert_eq!(proxy.orders()[0]["whole"], true);
+}
+
+#[test]
+fn sums_and_usage_of_collectors_and_proxies_reach_the_module() {
+    let (_discovery, director) = director();
+    let mut proxy = director.proxy(0, "a");
+    proxy.orders();
+    let mut collector = director.collector("a");
+    // Eight tries in a row lost at one host, none at the others: the module takes it out.
+    let sums = |host: &str, fail: u64| json!({"type": "LOAD", "site": "a", "target": host, "count": 8, "fail": fail, "mean": 40.0, "over": 1000.0});
+    for host in ["s-1", "s-3", "s-4", "s-9-unknown"] {
+        collector.say(&sums(host, 0));
+    }
+    collector.say(&json!({"type": "RATE", "id": 0, "lane": "order", "count": 9, "fail": 0, "over": 1000.0}));
+    proxy.say(&json!({"type": "RATE", "id": 0, "lane": "lookup", "count": 9, "fail": 0, "over": 1000.0}));
+    proxy.say(&json!({"type": "ACK", "id": 0, "seq": 1, "ms": 12.5}));
+    collector.say(&sums("s-2", 8));
+    let parts = proxy.orders();
+    let lines: Vec<_> = parts.iter().filter_map(|part| part["lines"].as_array()).flatten().collect();
+    assert!(lines.contains(&&json!(["s-2", 0.0])), "{parts:?}");
+    assert!(proxy.ping() && collector.ping());
+}
+
+#[test]
+fn a_newer_stream_of_a_proxy_replaces_the_older() {
+    let (_discovery, director) = director();
+    let mut old = director.proxy(5, "a");
+    old.orders();
+    let mut new = director.proxy(5, "a");
+    assert!(new.orders()[0]["whole"] == true, "bound anew");
+    assert!(old.is_over());
+    until("the older one is gone", || director.figure("streams_replaced_total") == 1);
+    assert!(new.ping(), "its end is not taken for the newer one's");
+    assert_eq!(director.figure("streams_joined"), 1);
+}
+
+#[test]
+fn a_proxy_that_leaves_is_told_and_may_come_again() {
+    let (_discovery, director) = director();
+    director.proxy(5, "a").orders();
+    until("it has left", || director.figure("streams_joined") == 0);
+    assert_eq!(director.proxy(5, "b").orders()[0]["whole"], true);
+}
+
+#[test]
+fn what_one_party_does_wrong_ends_its_connection_and_no_other() {
+    let (_discovery, director) = director();
+    let (mut proxy, mut collector) = (director.proxy(0, "a"), director.collector("a"));
+    proxy.orders();
+    let joins = json!({"type": "SUBSCRIBE", "id": 1, "site": "a", "rps": 5.0, "new": true});
+    let usage = |id: u32, lane: &str| json!({"type": "RATE", "id": id, "lane": lane, "count": 1, "fail": 0, "over": 1.0});
+    let sums = |zone: &str| json!({"type": "LOAD", "site": zone, "target": "s-1", "count": 1, "fail": 0, "over": 1.0});
+    let framed = |text: &[u8]| [&(text.len() as u32).to_be_bytes()[..], text].concat();
+    let frames = |messages: &[serde_json::Value]| messages.iter().flat_map(Party::frame).collect::<Vec<u8>>();
+    let faults: Vec<(&str, Vec<u8>)> = vec![
+        ("too long", [0, 16, 0, 1].to_vec()),
+        ("far too long", [0xff; 8].to_vec()),
+        ("not JSON", framed(b"{]")),
+        ("not text", framed(&[0xc3, 0x28])),
+        ("empty", framed(b"")),
+        ("unknown kind", frames(&[json!({"type": "NEWS"})])),
+        ("a field missing", frames(&[json!({"type": "SOURCE"})])),
+        ("no party named", frames(&[usage(0, "lookup")])),
+        (
+            "no such proxy",
+            frames(&[json!({"type": "SUBSCRIBE", "id": 8, "site": "a", "rps": 5.0, "new": true})]),
+        ),
+        (
+            "no such zone",
+            frames(&[json!({"type": "SUBSCRIBE", "id": 7, "site": "z", "rps": 5.0, "new": true})]),
+        ),
+        (
+            "a rate below 0",
+            frames(&[json!({"type": "SUBSCRIBE", "id": 7, "site": "a", "rps": -1, "new": true})]),
+        ),
+        ("no such zone of a collector", frames(&[json!({"type": "SOURCE", "site": "z"})])),
+        ("another proxy's usage", frames(&[joins.clone(), usage(0, "lookup")])),
+        ("no such class", frames(&[joins.clone(), usage(1, "fetch")])),
+        ("joined twice", frames(&[joins.clone(), joins.clone()])),
+        ("a proxy's sums", frames(&[joins.clone(), sums("a")])),
+        ("another zone's sums", frames(&[json!({"type": "SOURCE", "site": "a"}), sums("b")])),
+        ("usage of no proxy", frames(&[json!({"type": "SOURCE", "site": "a"}), usage(8, "lookup")])),
+        ("a collector that joins", frames(&[json!({"type": "SOURCE", "site": "a"}), joins.clone()])),
+    ];
+    let count = faults.len() as u64;
+    for (what, bytes) in faults {
+        let mut party = director.connect();
+        party.stream.write_all(&bytes).unwrap();
+        assert!(party.is_over(), "{what}");
+    }
+    until("each is counted", || director.figure("messages_bad_total") == count);
+    assert!(proxy.ping() && collector.ping(), "the others go on");
+}
+
+#[test]
+fn a_connection_cut_inside_a_message_is_no_fault() {
+    let (_discovery, director) = director();
+    let mut party = director.proxy(2, "a");
+    party.orders();
+    let usage = json!({"type": "RATE", "id": 2, "lane": "lookup", "count": 1, "fail": 0, "over": 1000.0});
+    let frame = Party::frame(&usage);
+    party.stream.write_all(&frame[..frame.len() / 2]).unwrap();
+    drop(party);
+    until("it has left", || director.figure("streams_joined") == 0);
+    assert_eq!(director.proxy(2, "a").orders()[0]["whole"], true);
+}
+
+#[test]
+fn a_connection_that_names_no_party_is_dropped_after_a_while() {
+    let (_discovery, director) = director();
+    let begun = Instant::now();
+    let (mut silent, mut slow) = (director.connect(), director.connect());
+    slow.stream.write_all(&[0, 0]).unwrap();
+    assert!(silent.is_over() && slow.is_over());
+    // The settings' `ask_within`.
+    assert!(begun.elapsed() >= Duration::from_secs(3));
+    until("both are counted", || director.figure("strangers_expired_total") == 2);
+}
+
+#[test]
+fn a_flood_of_strangers_takes_neither_descriptors_nor_places() {
+    let (_discovery, mut plan) = world(own_ip());
+    plan.config["limits"]["sockets"] = json!(128);
+    let director = plan.start();
+    let mut proxy = director.proxy(0, "a");
+    proxy.orders();
+    let mut strangers = Vec::new();
+    for _ in 0..600 {
+        strangers.extend(TcpStream::connect(director.listen));
+    }
+    assert_eq!(strangers.len(), 600);
+    assert_eq!(director.proxy(1, "a").orders()[0]["whole"], true, "a proxy joins all the same");
+    assert!(proxy.ping(), "and the others stay");
+    until("strangers are put out", || director.figure("strangers_evicted_total") > 400);
+    assert!(director.descriptors() < 128, "{} descriptors", director.descriptors());
+}
+
+#[test]
+fn a_reader_that_leaves_everything_unread_is_bounded_and_ends() {
+    let (_discovery, director) = director();
+    let mut other = director.proxy(1, "a");
+    other.orders();
+    let mut proxy = director.proxy(0, "a");
+    proxy.orders();
+    let before = director.memory();
+    // Answers to PINGs that nobody reads fill both sockets' buffers, then what may wait.
+    let pings = Party::frame(&json!({"type": "PING"})).repeat(4096);
+    proxy.stream.set_write_timeout(Some(common::PATIENCE)).unwrap();
+    let mut sent = 0;
+    while proxy.stream.write_all(&pings).is_ok() {
+        sent += pings.len();
+        assert!(sent < 1 << 30, "it was never ended");
+    }
+    until("its stream has ended", || director.figure("streams_joined") == 1);
+    assert!(other.ping(), "the other one goes on");
+    let grown = director.memory().saturating_sub(before);
+    assert!(grown < 16 << 10, "{grown} KiB more");
+}
+
+#[test]
+fn operators_find_health_and_figures_on_the_same_listener() {
+    let (_discovery, director) = director();
+    until("it is healthy", || director.page("/healthz").starts_with("HTTP/1.1 200 "));
+    let figures = director.page("/metrics");
+    assert!(figures.contains("# TYPE wingfold_list_calls_total counter"), "{figures}");
+    assert!(director.page("/nothing").starts_with("HTTP/1.1 404 "));
+}
--- a/crates/wingfold-settings/src/lib.rs
+++ b/crates/wingfold-settings/src/lib.rs
@@ -162,6 +162,18 @@
     pub fields: Vec<String>,
 }
 
+/// Puts one value of a host's load report where the decision module looks for it. Deployments name the values by
+/// the words of their settings' `report.fields`, or by the plain ones of the protocol page; others are ignored.
+pub fn put_load(load: &mut api::Load, name: &str, value: Option<f64>) {
+    match name {
+        "busy_reqs" | "inflight" => load.in_hand = value,
+        "pending" | "queue" => load.waiting = value,
+        "cpu_share" | "util" => load.busy = value,
+        "svc_ms" | "latency_ms" => load.service_ms = value,
+        _ => {}
+    }
+}
+
 /// What a host of the director must know to move messages, and the director itself need not.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Transport {
@@ -247,3 +259,39 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_load_report_is_read_by_the_settings_words_and_by_the_plain_ones() {
+        for words in
+            [["busy_reqs", "pending", "cpu_share", "svc_ms"], ["inflight", "queue", "util", "latency_ms"]]
+        {
+            let mut load = api::Load::default();
+            words.iter().zip(1..).for_each(|(word, value)| put_load(&mut load, word, Some(f64::from(value))));
+            put_load(&mut load, "served_ps", Some(9.0));
+            let whole =
+                api::Load { in_hand: Some(1.0), waiting: Some(2.0), busy: Some(3.0), service_ms: Some(4.0) };
+            assert_eq!(load, whole);
+        }
+    }
+
+    #[test]
+    fn an_error_names_the_path_of_the_key() {
+        #[derive(Debug, Deserialize)]
+        #[allow(dead_code)]
+        struct Outer {
+            inner: Vec<Transported>,
+        }
+        #[derive(Debug, Deserialize)]
+        #[allow(dead_code)]
+        struct Transported {
+            peers: bool,
+        }
+        let wrong = read::<Outer>(r#"{"inner":[{"peers":true},{"peers":3}]}"#).unwrap_err();
+        assert_eq!(wrong.path, "inner[1].peers");
+        assert!(read::<Outer>(r#"{"inner":[]} x"#).is_err(), "what follows the object is no part of it");
+    }
+}
--- a/crates/wingfold-simhost/src/wire.rs
+++ b/crates/wingfold-simhost/src/wire.rs
@@ -162,12 +162,8 @@
                 "-" => None,
                 _ => Some(part.parse::<f64>().map_err(|_| self.invalid("pressure", text))?),
             };
-            match names.fields.get(at).map(String::as_str) {
-                Some("busy_reqs") => load.in_hand = value,
-                Some("pending") => load.waiting = value,
-                Some("cpu_share") => load.busy = value,
-                Some("svc_ms") => load.service_ms = value,
-                _ => {}
+            if let Some(name) = names.fields.get(at) {
+                wingfold_settings::put_load(&mut load, name, value);
             }
         }
         Ok(load)
