Bound what half-sent messages, long log texts and HTTP heads may hold in memory

Seen on reading the code: a stranger could say that 1 MiB comes and send nearly all of it, 192 strangers thus held as much as the whole limit (frame.rs); one unreadable message could stand in one log line at its full length, and 4096 lines may wait (accept.rs, incoming.rs). Frames over 4 KiB now share a budget of a quarter of the memory; texts from outside are cut to 200 characters and one line. Named connections may stay silent for ten minutes: a proxy without traffic sends nothing, and cutting it off makes it dial and be bound again for no reason.

--- a/crates/wingfold-node/src/accept.rs
+++ b/crates/wingfold-node/src/accept.rs
@@ -4,7 +4,7 @@
 use crate::door::{Door, Entry, Stranger};
 use crate::incoming::{Ending, Incoming};
 use crate::message::Inbound;
-use crate::{collector, frame, ops, stream};
+use crate::{collector, frame, log, ops, stream};
 use std::io::{self, Cursor};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,7 +48,7 @@
             (name, stream::serve(first, *incoming, to, door.clone()).await)
         }
         Ok(Named::Party(Inbound::Source(first), incoming, to)) => {
-            let name = format!("collector of {}", first.site);
+            let name = format!("collector of {}", log::plain(&first.site));
             (name, collector::serve(first, *incoming, to, door.clone()).await)
         }
         Ok(Named::Party(..)) => {
@@ -59,6 +59,7 @@
     match &ending {
         Ending::Silent if party == "stranger" => door.book.strangers_expired_total.one(),
         Ending::Silent => door.book.parties_silent_total.one(),
+        Ending::Slow => door.book.readers_slow_total.one(),
         ending if ending.is_fault() => door.book.messages_bad_total.one(),
         _ => {}
     }
@@ -93,7 +94,8 @@
             ops::serve(request, door).await;
             return Ok(Named::Done);
         }
-        let mut incoming = Incoming::new(first, from, door.bounds.naming, door.book.clone());
+        let mut incoming =
+            Incoming::new(first, from, door.budget.clone(), door.bounds.naming, door.book.clone());
         loop {
             match incoming.next().await? {
                 Inbound::Ping => {
--- a/crates/wingfold-node/src/config.rs
+++ b/crates/wingfold-node/src/config.rs
@@ -8,6 +8,7 @@
 use wingfold_settings::{Info, Names, Transport};
 
 use crate::list::Listing;
+use crate::log;
 
 /// Everything a director is told at its start, checked.
 #[derive(Debug)]
@@ -56,11 +57,14 @@
     pub naming: Duration,
     /// Connections of one zone's collector: it has one, and a broken one may not be seen to end at once.
     pub collectors_a_zone: usize,
-    /// A named connection on which nothing came for so long has ended without a word. Sums come each period
-    /// where there is traffic, so this is many periods, and many seconds for a proxy with next to none.
+    /// A named connection on which nothing came for so long has ended without a word. A proxy sends its usage
+    /// each period, but only where there was some, and one that is cut off for being idle must dial and be bound
+    /// again: this is hundreds of periods. Meanwhile a silent one costs a descriptor that is set aside for it.
     pub silence: Duration,
     /// Bytes that may wait for one reader: as much as the protocol lets a party leave unread.
     pub unread: usize,
+    /// Bytes of messages that are not short, on all connections together: a quarter of the memory.
+    pub long_messages: usize,
     /// Sums and usage that may wait for the module: what the settings let arrive in ten seconds.
     pub reports: usize,
     /// A watch waits this long at discovery: half of the time in which it must ask again, so that a call
@@ -143,7 +147,7 @@
     /// Reads the file's text; `var` gives the variables, which go before the file's own keys.
     pub fn read(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let file: File = wingfold_settings::read(text)
-            .map_err(|e| ConfigError::Key { key: e.path, problem: e.problem })?;
+            .map_err(|e| ConfigError::Key { key: e.path, problem: log::plain(&e.problem) })?;
         let (settings, names, transport) =
             (file.settings.settings(), file.settings.names(), file.settings.transport());
         check(&settings, &names)?;
@@ -209,8 +213,9 @@
             strangers,
             naming: ask_within,
             collectors_a_zone,
-            silence: (micros(settings.report_period) * 30).max(Duration::from_secs(60)),
+            silence: (micros(settings.report_period) * 300).max(Duration::from_secs(600)),
             unread: 128 << 10,
+            long_messages: limits.memory_mb.max(8) << 18,
             reports: (settings.reports_per_s * 10.0).clamp(1e3, 1e5) as usize,
             watch: ask_within / 2,
             list_answer: Duration::from_secs(2).min(ask_within / 4),
--- a/crates/wingfold-node/src/discovery.rs
+++ b/crates/wingfold-node/src/discovery.rs
@@ -6,6 +6,7 @@
 use crate::http::{CallError, Http};
 use crate::inbox::{Inbox, News};
 use crate::list::Listing;
+use crate::log;
 use hyper::StatusCode;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -27,11 +28,11 @@
 /// Why there is no list.
 #[derive(Debug, thiserror::Error)]
 enum ListError {
-    #[error("{0}")]
+    #[error("{}", log::plain(&.0.to_string()))]
     Call(#[from] CallError),
     #[error("status {0}")]
     Status(StatusCode),
-    #[error("unreadable answer: {0}")]
+    #[error("unreadable answer: {}", log::plain(&.0.to_string()))]
     Unreadable(#[from] serde_json::Error),
 }
 
--- a/crates/wingfold-node/src/door.rs
+++ b/crates/wingfold-node/src/door.rs
@@ -2,6 +2,7 @@
 
 use crate::book::Book;
 use crate::config::{Bounds, Config};
+use crate::frame::Budget;
 use crate::inbox::Inbox;
 use crate::message::{self, Outbound, Rate};
 use crate::outbox::Link;
@@ -26,6 +27,8 @@
     pub book: Arc<Book>,
     /// The answer to a `PING`, encoded.
     pub pong: Bytes,
+    /// Memory for long messages.
+    pub budget: Budget,
     /// Answers HTTP.
     pub router: Router,
     zones: Vec<Arc<str>>,
@@ -69,6 +72,7 @@
             inbox,
             book,
             pong: message::encode(&Outbound::Pong),
+            budget: Budget::new(config.bounds.long_messages),
             router,
             zones: config.settings.zones.iter().map(|zone| zone.0.clone()).collect(),
             classes: config.names.classes.clone(),
--- a/crates/wingfold-node/src/engine.rs
+++ b/crates/wingfold-node/src/engine.rs
@@ -7,6 +7,7 @@
 use crate::inbox::{Intake, News};
 use crate::invariant;
 use crate::list::Addresses;
+use crate::log;
 use crate::message::{self, Outbound};
 use crate::outbox::{Link, Slow};
 use crate::peers::Post;
@@ -176,7 +177,8 @@
                         post.send(to, &bytes);
                     }
                 }
-                Action::Log(text) => tracing::info!("{text}"),
+                // Names from outside stand in it.
+                Action::Log(text) => tracing::info!("{}", log::plain(&text)),
                 // Orders about tables are in the messages sent above.
                 Action::SetLine(..) | Action::ClearTable(_) | Action::Bind(..) => {}
                 Action::Withdraw(..) | Action::Admit(..) | Action::Mark(..) => {}
--- a/crates/wingfold-node/src/lib.rs
+++ b/crates/wingfold-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod message;
 mod ops;
 mod outbox;
+mod party;
 mod peers;
 mod probe;
 mod stream;
@@ -32,6 +33,7 @@
 use clock::Clock;
 use door::Door;
 use engine::{Channel, Engine};
+use std::future::Future;
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -65,9 +67,21 @@
 
 /// Serves as a director until SIGTERM or an interrupt.
 pub async fn run(config: Config) -> Result<(), RunError> {
-    let clock = Clock::start();
     // Signals are heard before the listener answers: from then on a restart may be asked for.
-    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let asked = async move {
+        tokio::select! {
+            _ = terminate.recv() => tracing::info!("asked to end"),
+            _ = interrupt.recv() => tracing::info!("interrupted"),
+        }
+    };
+    serve(config, asked).await
+}
+
+/// Serves as a director until `end` is ready: for programs that have signals of their own.
+pub async fn serve(config: Config, end: impl Future<Output = ()>) -> Result<(), RunError> {
+    let clock = Clock::start();
     let book = Arc::new(Book::default());
     let listener = TcpListener::bind(config.listen).await.map_err(|problem| {
         let (key, address) = ("listen", config.listen);
@@ -128,14 +142,7 @@
     // Tasks of their own, so that one which fails is seen to end and takes the process with it: a director
     // that no longer decides must not go on holding its proxies.
     let ended = tokio::select! {
-        _ = terminate.recv() => {
-            tracing::info!("asked to end");
-            return Ok(());
-        }
-        _ = interrupt.recv() => {
-            tracing::info!("interrupted");
-            return Ok(());
-        }
+        () = end => return Ok(()),
         ended = tokio::spawn(engine.run(intake)) => ended,
         ended = tokio::spawn(discovery.run(asked)) => ended,
         ended = tokio::spawn(accept::serve(listener, door)) => ended,
--- a/crates/wingfold-node/src/ops.rs
+++ b/crates/wingfold-node/src/ops.rs
@@ -14,6 +14,9 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::timeout;
 
+/// A request's head holds a few lines; hyper needs so much at least.
+const HEAD_BYTES: usize = 8 << 10;
+
 /// The pages.
 pub fn router(book: Arc<Book>) -> Router {
     Router::new().route("/healthz", get(health)).route("/metrics", get(metrics)).with_state(book)
@@ -38,7 +41,7 @@
 pub async fn serve(connection: impl AsyncRead + AsyncWrite + Unpin, door: &Arc<Door>) {
     let service = TowerToHyperService::new(door.router.clone());
     let mut server = http1::Builder::new();
-    server.timer(TokioTimer::new()).header_read_timeout(door.bounds.naming);
+    server.timer(TokioTimer::new()).header_read_timeout(door.bounds.naming).max_buf_size(HEAD_BYTES);
     let served = server.serve_connection(TokioIo::new(connection), service);
     if let Ok(Err(error)) = timeout(door.bounds.naming, served).await {
         tracing::debug!(%error, "HTTP connection ended");
--- /dev/null
+++ b/crates/wingfold-node/src/party.rs
@@ -0,0 +1,38 @@
+//! Serves a connection whose party is known: reads and writes side by side, so that neither waits for the other.
+
+use crate::door::Door;
+use crate::inbox::News;
+use crate::incoming::{Ending, Incoming};
+use crate::message::Inbound;
+use crate::outbox::{Link, Outbox, Slow};
+use tokio::net::tcp::OwnedWriteHalf;
+
+/// Serves until the connection ends; `admit` says what a message means, or what is wrong with it.
+pub async fn serve(
+    door: &Door,
+    (mut from, to): (Incoming, OwnedWriteHalf),
+    (link, outbox): (&Link, Outbox),
+    admit: impl Fn(Inbound) -> Result<News, &'static str>,
+) -> Ending {
+    from.allow(door.bounds.silence);
+    let reads = async {
+        loop {
+            match from.next().await {
+                Err(ending) => return ending,
+                Ok(Inbound::Ping) => match link.send(vec![door.pong.clone()]) {
+                    Ok(()) => {}
+                    Err(Slow) => return Ending::Slow,
+                },
+                Ok(message) => match admit(message) {
+                    Ok(news) => door.inbox.put(news),
+                    Err(problem) => return Ending::Wrong(problem),
+                },
+            }
+        }
+    };
+    tokio::select! {
+        ending = reads => ending,
+        written = outbox.write(to) => written.map_or_else(Ending::Broken, |()| Ending::Ended),
+        () = link.ended() => Ending::Ended,
+    }
+}
--- a/crates/wingfold-node/src/probe.rs
+++ b/crates/wingfold-node/src/probe.rs
@@ -4,6 +4,7 @@
 use crate::config::Bounds;
 use crate::http::Http;
 use crate::inbox::{Inbox, News};
+use crate::log;
 use crate::message::LoadReport;
 use hyper::StatusCode;
 use std::sync::Arc;
@@ -69,7 +70,11 @@
         match serde_json::from_slice::<LoadReport>(&body) {
             Ok(report) => (outcome, report.0),
             Err(_) if body.is_empty() => (outcome, Load::default()),
-            Err(_) => failed,
+            Err(error) => {
+                let error = log::plain(&error.to_string());
+                tracing::warn!(address, error, "probe: unreadable load report");
+                failed
+            }
         }
     }
 }
--- a/crates/wingfold-node/tests/streams.rs
+++ b/crates/wingfold-node/tests/streams.rs
@@ -227,3 +227,44 @@
     assert!(figures.contains("# TYPE wingfold_list_calls_total counter"), "{figures}");
     assert!(director.page("/nothing").starts_with("HTTP/1.1 404 "));
 }
+
+#[test]
+fn half_sent_long_messages_of_strangers_do_not_fill_the_memory() {
+    let (_discovery, mut plan) = world(own_ip());
+    plan.config["limits"]["memory_mb"] = json!(32);
+    let director = plan.start();
+    let mut proxy = director.proxy(0, "a");
+    proxy.orders();
+    let before = director.memory();
+    // Each says that a message of 1 MiB comes and sends nearly all of it: 100 MiB in all.
+    let long = [&(1u32 << 20).to_be_bytes()[..], &vec![b' '; (1 << 20) - 1]].concat();
+    let mut strangers = Vec::new();
+    for _ in 0..100 {
+        let mut stranger = director.connect();
+        // It may be cut off while it still writes.
+        let _ = stranger.stream.write_all(&long);
+        strangers.push(stranger);
+    }
+    until("those beyond the budget are cut off", || director.figure("messages_bad_total") >= 80);
+    assert!(proxy.ping());
+    let grown = director.memory().saturating_sub(before);
+    assert!(grown < 24 << 10, "{grown} KiB more");
+}
+
+#[test]
+fn a_message_of_the_full_length_is_taken_and_a_long_fault_makes_a_short_log_line() {
+    let (_discovery, director) = director();
+    let mut proxy = director.proxy(0, "a");
+    proxy.orders();
+    let mut usage =
+        json!({"type": "RATE", "id": 0, "lane": "lookup", "count": 1, "fail": 0, "over": 1000.0, "x": ""});
+    usage["x"] = json!("x".repeat((1 << 20) - usage.to_string().len()));
+    proxy.say(&usage);
+    assert!(proxy.ping(), "unknown keys are passed over");
+    usage["type"] = json!("N".repeat(1 << 19));
+    usage["x"] = json!("");
+    proxy.say(&usage);
+    assert!(proxy.is_over());
+    until("the log says why", || director.log().contains("unreadable message: unknown variant"));
+    assert!(director.log().lines().all(|line| line.len() < 1000));
+}
