--- a/crates/wingfold-node/src/discovery.rs
+++ b/crates/wingfold-node/src/discovery.rs
@@ -1,15 +1,17 @@
 //! Relays discovery's list: watches it and fetches it when the module says so, and hands on what it answers. A
 //! call that fails is told to the module, which decides when to ask again.
+//!
+//! Where the settings say that changes are pushed, the module asks for the whole list once and waits for what comes.
+//! Discovery pushes nothing by itself, so there the fetch is the first call of a watch.
 
 use crate::book::Book;
-use crate::config::Bounds;
+use crate::config::{Bounds, Config};
 use crate::http::{CallError, Http};
 use crate::inbox::{Inbox, News};
 use crate::list::Listing;
 use crate::log;
 use hyper::StatusCode;
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -44,6 +46,7 @@
 pub struct Discovery {
     address: Arc<str>,
     bounds: Bounds,
+    pushed: bool,
     http: Http,
     inbox: Inbox,
     book: Arc<Book>,
@@ -51,16 +54,18 @@
 }
 
 impl Discovery {
-    /// For discovery at `address`; `version` is that of the list remembered.
-    pub fn new(
-        address: SocketAddr,
-        version: Option<u64>,
-        bounds: &Bounds,
-        inbox: Inbox,
-        book: Arc<Book>,
-    ) -> Self {
-        let http = Http::new(bounds.connect, bounds.watch, bounds.list_bytes);
-        Discovery { address: address.to_string().into(), bounds: bounds.clone(), http, inbox, book, version }
+    /// For the discovery of this configuration, which also tells the version of the list remembered.
+    pub fn new(config: &Config, inbox: Inbox, book: Arc<Book>) -> Self {
+        let bounds = config.bounds.clone();
+        Discovery {
+            address: config.discovery.to_string().into(),
+            pushed: !config.settings.list_on_request,
+            http: Http::new(bounds.connect, bounds.watch, bounds.list_bytes),
+            version: config.known.as_ref().map(|list| list.version),
+            bounds,
+            inbox,
+            book,
+        }
     }
 
     /// Carries out what is asked, for good.
@@ -75,6 +80,9 @@
                     Some(Ask::Watch(false)) => watch = None,
                     // It does not wait: what is missing arrives at once, and the calls that wait follow.
                     Some(Ask::Watch(true)) => (first, watch) = (true, Some(self.call(true, Duration::ZERO))),
+                    Some(Ask::Fetch) if self.pushed => {
+                        (first, watch) = (true, Some(self.call(false, Duration::ZERO)));
+                    }
                     Some(Ask::Fetch) => fetch = Some(self.call(false, Duration::ZERO)),
                 },
                 answer = next(&mut watch) => {
--- a/crates/wingfold-node/src/lib.rs
+++ b/crates/wingfold-node/src/lib.rs
@@ -90,6 +90,8 @@
     let (inbox, intake) = inbox::inbox(config.bounds.reports, book.clone());
     let door = Door::new(&config, inbox.clone(), book.clone(), ops::router(book.clone()));
     let door = Arc::new(door);
+    let discovery = discovery::Discovery::new(&config, inbox.clone(), book.clone());
+    let prober = probe::Prober::new(&config.bounds, inbox.clone(), book.clone());
     let post = match config.peers {
         None => None,
         Some(peers) => {
@@ -99,10 +101,7 @@
             Some(Arc::new(post.map_err(failed)?))
         }
     };
-    let version = config.known.as_ref().map(|list| list.version);
     let (ask, asked) = tokio::sync::mpsc::unbounded_channel();
-    let bounds = &config.bounds;
-    let discovery = discovery::Discovery::new(config.discovery, version, bounds, inbox.clone(), book.clone());
     let channel = Channel {
         pace: config.settings.lines_per_s,
         overhead: config.settings.message_overhead,
@@ -114,7 +113,7 @@
         director: Director::new(config.settings, config.seed),
         clock,
         discovery: ask,
-        prober: probe::Prober::new(bounds, inbox.clone(), book.clone()),
+        prober,
         post: post.clone(),
         addresses: list::Addresses::default(),
         channel,
--- a/crates/wingfold-node/src/tables.rs
+++ b/crates/wingfold-node/src/tables.rs
@@ -149,6 +149,10 @@
                 Action::Probe(_) | Action::Tell(..) | Action::Log(_) => {}
             }
         }
+        let quiet = touched.is_empty() && fresh.is_empty() && levelled.is_empty() && hosts.is_empty();
+        if quiet && !all_levelled && marks.is_empty() {
+            return Vec::new();
+        }
         let changes: BTreeMap<TableId, Vec<(HostId, f64)>> =
             touched.iter().map(|(id, touched)| (*id, self.changes(*id, touched))).collect();
         let whole = |proxy: ProxyId, class: usize, id: &TableId| {
