--- a/crates/wingfold-node/tests/streams.rs
+++ b/crates/wingfold-node/tests/streams.rs
@@ -268,3 +268,41 @@
     until("the log says why", || director.log().contains("unreadable message: unknown variant"));
     assert!(director.log().lines().all(|line| line.len() < 1000));
 }
+
+#[test]
+fn no_bytes_from_the_network_make_the_director_panic() {
+    let (_discovery, mut director) = director();
+    let mut proxy = director.proxy(7, "b");
+    proxy.orders();
+    let messages = [
+        json!({"type": "SOURCE", "site": "a"}),
+        json!({"type": "SUBSCRIBE", "id": 3, "site": "a", "rps": 21.5, "new": true}),
+        json!({"type": "LOAD", "site": "a", "target": "s-1", "count": 212, "fail": 3, "mean": 41.7, "over": 1e3}),
+        json!({"type": "RATE", "id": 3, "lane": "lookup", "count": 19, "fail": 0, "over": 1000.0}),
+        json!({"type": "ACK", "id": 3, "seq": 905, "ms": 310.4}),
+    ];
+    // A plain generator of numbers: the same bytes on every run.
+    let mut state = 17u64;
+    let mut below = |most: usize| {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) as usize % most
+    };
+    for round in 0..400 {
+        let mut bytes: Vec<u8> = Party::frame(&messages[round % 2]);
+        for _ in 0..4 {
+            bytes.extend(Party::frame(&messages[below(messages.len())]));
+        }
+        // Figures become other figures, letters other letters; now and then a length is hit.
+        for _ in 0..below(4) {
+            let at = below(bytes.len());
+            bytes[at] = if bytes[at].is_ascii_digit() { b"0129-.eE"[below(8)] } else { below(256) as u8 };
+        }
+        let mut party = director.connect();
+        // It may be cut off while it still writes.
+        let _ = party.stream.write_all(&bytes);
+    }
+    until("what they opened is closed", || director.figure("streams_joined") == 1);
+    assert!(director.figure("messages_bad_total") > 50, "the bytes were wrong often enough");
+    assert!(director.is_up() && proxy.ping());
+    assert!(!director.log().contains("panicked") && director.figure("invariants_broken_total") == 0);
+}
