Tidy the node: one wait, one framing, one numbering of retries, shorter tables

Nothing is meant to change in what is sent, bounded or checked. Waiting for what there may be stood three times (engine, discovery, start) and is or_never now; the PONG to a stranger and the stand-in's proxy wrote frames by hand beside the codec and the tests' Party; both hosts numbered the ways of trying again, wingfold-settings does now. Figures from outside are checked by one type instead of a type for times and a second look at rps. tables.rs tested twice whether a table concerns a proxy: taking the orders and making one proxy's message are functions of their own now. The check of listed hosts no longer copies the name of every line sent, and one reading of the clock serves a round. A stranger is the lack of a party, not a party of that name. One line of the log differs in words: a figure below 0 in a message is called a figure, not a time.

--- a/crates/wingfold-node/examples/standin.rs
+++ b/crates/wingfold-node/examples/standin.rs
@@ -4,10 +4,8 @@
 #[path = "../tests/common/standin.rs"]
 mod standin;
 
-use serde_json::{json, Value};
-use standin::{config, server, Discovery, Host};
-use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use standin::{config, server, Discovery, Host, Party};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 fn main() -> std::io::Result<()> {
@@ -31,15 +29,11 @@
 
 /// Joins as proxy 0 and prints what comes, until the stream ends.
 fn join(listen: SocketAddr) -> std::io::Result<()> {
-    let mut stream = TcpStream::connect(listen)?;
-    let message = json!({"type": "SUBSCRIBE", "id": 0, "site": "a", "rps": 5.0, "new": true}).to_string();
-    stream.write_all(&(message.len() as u32).to_be_bytes())?;
-    stream.write_all(message.as_bytes())?;
-    loop {
-        let mut head = [0; 4];
-        stream.read_exact(&mut head)?;
-        let mut body = vec![0; u32::from_be_bytes(head) as usize];
-        stream.read_exact(&mut body)?;
-        println!("proxy 0: {}", serde_json::from_slice::<Value>(&body)?);
+    let mut party = Party::reach(listen).ok_or(std::io::ErrorKind::ConnectionRefused)?;
+    party.stream.set_read_timeout(None)?;
+    party.join(0, "a");
+    while let Some(message) = party.hear() {
+        println!("proxy 0: {message}");
     }
+    Err(std::io::ErrorKind::ConnectionReset.into())
 }
--- a/crates/wingfold-node/src/accept.rs
+++ b/crates/wingfold-node/src/accept.rs
@@ -5,14 +5,16 @@
 use crate::incoming::{Ending, Incoming};
 use crate::message::Inbound;
 use crate::{collector, frame, log, ops, stream};
+use futures_util::SinkExt;
 use std::io::{self, Cursor};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
+use tokio_util::codec::FramedWrite;
 
 /// After a failed accept (descriptors run out, say) the next is tried so much later: trying at once would
 /// burn the core until something closes.
@@ -39,34 +41,34 @@
 }
 
 /// Serves one connection from its first byte to its end, and books how that came.
-async fn meet(connection: TcpStream, from: SocketAddr, entry: Entry, stranger: Stranger, door: Arc<Door>) {
+async fn meet(connection: TcpStream, from: SocketAddr, _entry: Entry, stranger: Stranger, door: Arc<Door>) {
     let (party, ending) = match introduce(connection, stranger, &door).await {
-        Err(ending) => ("stranger".to_string(), ending),
+        Err(ending) => (None, ending),
         Ok(Named::Done) => return,
         Ok(Named::Party(Inbound::Subscribe(first), incoming, to)) => {
             let name = format!("proxy {}", first.id);
-            (name, stream::serve(first, *incoming, to, door.clone()).await)
+            (Some(name), stream::serve(first, *incoming, to, door.clone()).await)
         }
         Ok(Named::Party(Inbound::Source(first), incoming, to)) => {
             let name = format!("collector of {}", log::plain(&first.site));
-            (name, collector::serve(first, *incoming, to, door.clone()).await)
-        }
-        Ok(Named::Party(..)) => {
-            ("stranger".to_string(), Ending::Wrong("the first message must name the party"))
+            (Some(name), collector::serve(first, *incoming, to, door.clone()).await)
         }
+        Ok(Named::Party(..)) => (None, Ending::Wrong("the first message must name the party")),
     };
-    drop(entry);
     match &ending {
-        Ending::Silent if party == "stranger" => door.book.strangers_expired_total.one(),
+        Ending::Silent if party.is_none() => door.book.strangers_expired_total.one(),
         Ending::Silent => door.book.parties_silent_total.one(),
         Ending::Slow => door.book.readers_slow_total.one(),
         ending if ending.is_fault() => door.book.messages_bad_total.one(),
         _ => {}
     }
-    match party == "stranger" && !ending.is_fault() {
-        true => tracing::debug!(%from, %ending, "stranger gone"),
-        false if ending.is_fault() => tracing::warn!(party, %from, %ending, "connection ended"),
-        false => tracing::info!(party, %from, %ending, "connection ended"),
+    let named = party.as_deref().unwrap_or("stranger");
+    if ending.is_fault() {
+        tracing::warn!(party = named, %from, %ending, "connection ended");
+    } else if party.is_some() {
+        tracing::info!(party = named, %from, %ending, "connection ended");
+    } else {
+        tracing::debug!(%from, %ending, "stranger gone");
     }
 }
 
@@ -99,9 +101,8 @@
         loop {
             match incoming.next().await? {
                 Inbound::Ping => {
-                    let mut frame = (door.pong.len() as u32).to_be_bytes().to_vec();
-                    frame.extend_from_slice(&door.pong);
-                    let written = timeout(door.bounds.naming, to.write_all(&frame)).await;
+                    let mut framed = FramedWrite::new(&mut to, frame::codec());
+                    let written = timeout(door.bounds.naming, framed.send(door.pong.clone())).await;
                     written.map_err(|_| Ending::Silent)??;
                 }
                 message => return Ok(Named::Party(message, Box::new(incoming), to)),
--- a/crates/wingfold-node/src/config.rs
+++ b/crates/wingfold-node/src/config.rs
@@ -146,8 +146,8 @@
 
     /// Reads the file's text; `var` gives the variables, which go before the file's own keys.
     pub fn read(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-        let file: File = wingfold_settings::read(text)
-            .map_err(|e| ConfigError::Key { key: e.path, problem: log::plain(&e.problem) })?;
+        let file: File =
+            wingfold_settings::read(text).map_err(|e| wrong(&e.path, &log::plain(&e.problem)))?;
         let (settings, names, transport) =
             (file.settings.settings(), file.settings.names(), file.settings.transport());
         check(&settings, &names)?;
--- a/crates/wingfold-node/src/discovery.rs
+++ b/crates/wingfold-node/src/discovery.rs
@@ -9,7 +9,7 @@
 use crate::http::{CallError, Http};
 use crate::inbox::{Inbox, News};
 use crate::list::Listing;
-use crate::log;
+use crate::{log, or_never};
 use hyper::StatusCode;
 use std::future::Future;
 use std::pin::Pin;
@@ -85,11 +85,11 @@
                     }
                     Some(Ask::Fetch) => fetch = Some(self.call(false, Duration::ZERO)),
                 },
-                answer = next(&mut watch) => {
+                answer = or_never(watch.as_mut()) => {
                     let told = self.tell(answer, std::mem::take(&mut first));
                     watch = told.then(|| self.call(true, self.bounds.watch));
                 }
-                answer = next(&mut fetch) => {
+                answer = or_never(fetch.as_mut()) => {
                     self.tell(answer, true);
                     fetch = None;
                 }
@@ -147,11 +147,3 @@
         true
     }
 }
-
-/// Waits for a call, if there is one.
-async fn next(call: &mut Option<Call>) -> Answer {
-    match call {
-        Some(call) => call.await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/wingfold-node/src/engine.rs
+++ b/crates/wingfold-node/src/engine.rs
@@ -7,19 +7,19 @@
 use crate::inbox::{Intake, News};
 use crate::invariant;
 use crate::list::Addresses;
-use crate::log;
 use crate::message::{self, Outbound};
 use crate::outbox::{Link, Slow};
 use crate::peers::Post;
 use crate::probe::Prober;
 use crate::tables::{Order, Tables};
+use crate::{log, or_never};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep_until;
-use wingfold_director::interface::{Action, Event, HostId, ListKind, Micros, ProxyId};
+use wingfold_director::interface::{Action, Event, ListKind, Micros, ProxyId};
 use wingfold_director::Director;
 
 /// A message has so many parts at most.
@@ -81,18 +81,12 @@
     pub async fn run(mut self, mut intake: Intake) {
         let (mut news, mut events, mut actions) = (Vec::new(), Vec::new(), Vec::new());
         // The module is asked once before anything came, to set its first timer.
-        self.answer(&mut events, &mut actions);
+        self.answer(self.clock.now(), &mut events, &mut actions);
         loop {
             let due = self.timers.peek().map(|Reverse((at, _))| self.clock.instant(*at));
-            let sleep = async {
-                match due {
-                    Some(due) => sleep_until(due).await,
-                    None => std::future::pending().await,
-                }
-            };
             tokio::select! {
                 alive = intake.take(&mut news) => if !alive { return },
-                () = sleep => {}
+                () = or_never(due.map(sleep_until)) => {}
             }
             for one in news.drain(..) {
                 self.take(one, &mut events);
@@ -104,7 +98,7 @@
                 events.push(Event::Timer(token));
             }
             if !events.is_empty() {
-                self.answer(&mut events, &mut actions);
+                self.answer(now, &mut events, &mut actions);
             }
         }
     }
@@ -149,9 +143,8 @@
     }
 
     /// Calls the module once and passes on all that it orders.
-    fn answer(&mut self, events: &mut Vec<Event>, actions: &mut Vec<Action>) {
+    fn answer(&mut self, now: Micros, events: &mut Vec<Event>, actions: &mut Vec<Action>) {
         let begun = Instant::now();
-        let now = self.clock.now();
         self.director.handle(now, events, actions);
         self.book.events_most.at_least(events.len() as u64);
         events.clear();
@@ -169,7 +162,7 @@
                 Action::FetchList => drop(self.discovery.send(Ask::Fetch)),
                 Action::Timer(at, token) => self.timers.push(Reverse((at, token))),
                 Action::Probe(host) => {
-                    let address = self.addresses.of(&host).cloned();
+                    let address = self.addresses.of(&host.0).cloned();
                     self.prober.probe(host, address);
                 }
                 Action::Tell(to, bytes) => {
@@ -197,9 +190,8 @@
             let sane = |figure: f64| figure.is_finite() && figure >= 0.0;
             let figures = part.lines.iter().all(|line| sane(line.1));
             invariant!(self.book, figures && part.admit.is_none_or(|a| sane(a.level)), "a figure below 0");
-            let named = part.lines.iter().map(|line| &line.0).chain(&part.out).chain(&part.back);
-            let mut named = named.map(|name| HostId(name.clone()));
-            let listed = named.all(|host| self.addresses.of(&host).is_some());
+            let mut named = part.lines.iter().map(|line| &line.0).chain(&part.out).chain(&part.back);
+            let listed = named.all(|host| self.addresses.of(host).is_some());
             invariant!(self.book, listed, "a line names a host that discovery has never listed");
         }
         let frames = order.parts.into_iter().map(|part| message::encode(&Outbound::Config(part))).collect();
--- a/crates/wingfold-node/src/lib.rs
+++ b/crates/wingfold-node/src/lib.rs
@@ -65,6 +65,14 @@
     Start(#[from] std::io::Error),
 }
 
+/// Waits for what there may be; for good where there is nothing.
+async fn or_never<T>(one: Option<impl Future<Output = T>>) -> T {
+    match one {
+        Some(one) => one.await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Serves as a director until SIGTERM or an interrupt.
 pub async fn run(config: Config) -> Result<(), RunError> {
     // Signals are heard before the listener answers: from then on a restart may be asked for.
@@ -132,12 +140,6 @@
             figures.log();
         }
     };
-    let receive = async {
-        match post {
-            Some(post) => post.receive(inbox).await,
-            None => std::future::pending().await,
-        }
-    };
     // Tasks of their own, so that one which fails is seen to end and takes the process with it: a director
     // that no longer decides must not go on holding its proxies.
     let ended = tokio::select! {
@@ -145,7 +147,7 @@
         ended = tokio::spawn(engine.run(intake)) => ended,
         ended = tokio::spawn(discovery.run(asked)) => ended,
         ended = tokio::spawn(accept::serve(listener, door)) => ended,
-        () = receive => Ok(()),
+        () = or_never(post.map(|post| async move { post.receive(inbox).await })) => Ok(()),
         () = report => Ok(()),
     };
     Err(RunError::Ended(ended.map_or_else(|error| error.to_string(), |()| "no reason told".into())))
--- a/crates/wingfold-node/src/list.rs
+++ b/crates/wingfold-node/src/list.rs
@@ -75,17 +75,17 @@
 
 /// Every host that a list ever named, and where it answers probes.
 #[derive(Debug, Default)]
-pub struct Addresses(BTreeMap<HostId, Arc<str>>);
+pub struct Addresses(BTreeMap<Arc<str>, Arc<str>>);
 
 impl Addresses {
     /// Takes in what a list says; a host that is gone stays known.
     pub fn learn(&mut self, listing: &Listing) {
-        let servers = listing.servers.iter().map(|s| (HostId(s.id.clone()), s.addr.clone()));
+        let servers = listing.servers.iter().map(|s| (s.id.clone(), s.addr.clone()));
         self.0.extend(servers);
     }
 
     /// Where a host answers.
-    pub fn of(&self, host: &HostId) -> Option<&Arc<str>> {
+    pub fn of(&self, host: &str) -> Option<&Arc<str>> {
         self.0.get(host)
     }
 }
@@ -107,7 +107,7 @@
         assert_eq!(entry.started, Some(Micros(1_700_000_000_123_000)));
         let mut addresses = Addresses::default();
         addresses.learn(&list);
-        assert_eq!(addresses.of(&entry.host).map(|a| &**a), Some("10.1.0.18:8443"));
+        assert_eq!(addresses.of(&entry.host.0).map(|a| &**a), Some("10.1.0.18:8443"));
     }
 
     #[test]
--- a/crates/wingfold-node/src/message.rs
+++ b/crates/wingfold-node/src/message.rs
@@ -54,8 +54,8 @@
     count: u64,
     fail: u64,
     #[serde(default)]
-    mean: Option<Millis>,
-    over: Millis,
+    mean: Option<Figure>,
+    over: Figure,
     #[serde(default)]
     util: Option<LoadReport>,
 }
@@ -67,7 +67,7 @@
     }
     /// Mean time of the good tries.
     pub fn mean(&self) -> Micros {
-        self.mean.map_or(Micros(0), Millis::micros)
+        self.mean.map_or(Micros(0), Figure::micros)
     }
     /// The latest load report; nothing where there is none.
     pub fn load(&self) -> Load {
@@ -82,8 +82,14 @@
     pub id: u32,
     /// Its zone.
     pub site: Arc<str>,
+    rps: Figure,
+}
+
+impl Subscribe {
     /// Its usual requests a second, roughly.
-    pub rps: f64,
+    pub fn rate(&self) -> f64 {
+        self.rps.0
+    }
 }
 
 /// The answer to a mark.
@@ -93,7 +99,7 @@
     pub id: u32,
     /// The mark.
     pub seq: u64,
-    ms: Millis,
+    ms: Figure,
 }
 
 impl Ack {
@@ -112,7 +118,7 @@
     pub lane: Arc<str>,
     count: u64,
     fail: u64,
-    over: Millis,
+    over: Figure,
 }
 
 impl Rate {
@@ -122,19 +128,21 @@
     }
 }
 
-/// A length of time as it stands in messages, in milliseconds; never below 0.
+/// A figure as it stands in messages, never below 0; times are in milliseconds.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(try_from = "f64")]
-struct Millis(f64);
+struct Figure(f64);
 
-impl TryFrom<f64> for Millis {
+impl TryFrom<f64> for Figure {
     type Error = &'static str;
-    fn try_from(ms: f64) -> Result<Self, Self::Error> {
-        (ms.is_finite() && ms >= 0.0).then_some(Millis(ms)).ok_or("a time of 0 ms or more was expected")
+    fn try_from(figure: f64) -> Result<Self, Self::Error> {
+        (figure.is_finite() && figure >= 0.0)
+            .then_some(Figure(figure))
+            .ok_or("a figure of 0 or more was expected")
     }
 }
 
-impl Millis {
+impl Figure {
     fn micros(self) -> Micros {
         Micros((self.0 * 1e3) as u64)
     }
@@ -198,13 +206,7 @@
 
 /// Reads a message.
 pub fn decode(bytes: &[u8]) -> Result<Inbound, serde_json::Error> {
-    let message: Inbound = serde_json::from_slice(bytes)?;
-    let sane = match &message {
-        Inbound::Subscribe(Subscribe { rps, .. }) => rps.is_finite() && *rps >= 0.0,
-        _ => true,
-    };
-    let wrong = || serde::de::Error::custom("`rps` must be 0 or more");
-    sane.then_some(message).ok_or_else(wrong)
+    serde_json::from_slice(bytes)
 }
 
 /// Writes a message.
@@ -233,7 +235,7 @@
             serde_json::from_slice(br#"{"cpu_share":0.198,"busy_reqs":1.991,"x":[]}"#).unwrap();
         assert_eq!(report.0, Load { in_hand: Some(1.991), busy: Some(0.198), ..Load::default() });
         let joined = decode(br#"{"type":"SUBSCRIBE","id":17,"site":"a","rps":21.5,"new":true}"#);
-        assert!(matches!(joined, Ok(Inbound::Subscribe(s)) if s.id == 17 && s.rps == 21.5));
+        assert!(matches!(joined, Ok(Inbound::Subscribe(s)) if s.id == 17 && s.rate() == 21.5));
         let ack = decode(br#"{"type":"ACK","id":17,"seq":905,"ms":310.4}"#);
         assert!(matches!(ack, Ok(Inbound::Ack(a)) if a.seq == 905 && a.took() == Micros(310_400)));
         let rate = decode(br#"{"type":"RATE","id":17,"lane":"lookup","count":19,"fail":0,"over":1000.0}"#);
--- a/crates/wingfold-node/src/probe.rs
+++ b/crates/wingfold-node/src/probe.rs
@@ -38,24 +38,25 @@
     /// Probes a host; what comes of it arrives in the inbox. Never waits.
     pub fn probe(&self, host: HostId, address: Option<Arc<str>>) {
         self.book.probes_total.one();
-        let tell = |this: &Self, host, outcome, load| {
-            if outcome != ProbeOutcome::Ok {
-                this.book.probes_failed_total.one();
-            }
-            this.inbox.put(News::Told(Event::Probed(host, outcome, load)));
-        };
         let place = self.places.clone().try_acquire_owned().ok();
         let (Some(address), Some(place)) = (address, place) else {
-            return tell(self, host, ProbeOutcome::Failed, Load::default());
+            return self.tell(host, ProbeOutcome::Failed, Load::default());
         };
         let this = self.clone();
         tokio::spawn(async move {
             let (outcome, load) = this.ask(&address).await;
             drop(place);
-            tell(&this, host, outcome, load);
+            this.tell(host, outcome, load);
         });
     }
 
+    fn tell(&self, host: HostId, outcome: ProbeOutcome, load: Load) {
+        if outcome != ProbeOutcome::Ok {
+            self.book.probes_failed_total.one();
+        }
+        self.inbox.put(News::Told(Event::Probed(host, outcome, load)));
+    }
+
     async fn ask(&self, address: &str) -> (ProbeOutcome, Load) {
         let failed = (ProbeOutcome::Failed, Load::default());
         let Ok((status, body)) = self.http.get(address, "/status/load", self.within).await else {
--- a/crates/wingfold-node/src/stream.rs
+++ b/crates/wingfold-node/src/stream.rs
@@ -33,7 +33,7 @@
     };
     let (link, outbox) = outbox::link(door.number(), door.bounds.unread);
     let _leaving = Leaving { proxy, link: link.number, inbox: door.inbox.clone() };
-    door.inbox.put(News::Joined(proxy, ZoneId(zone), first.rps, link.clone()));
+    door.inbox.put(News::Joined(proxy, ZoneId(zone), first.rate(), link.clone()));
     door.book.streams_joined_total.one();
     let admit = |message| match message {
         Inbound::Ack(ack) if ack.id == first.id => Ok(News::Told(Event::Applied(proxy, ack.seq, ack.took()))),
--- a/crates/wingfold-node/src/tables.rs
+++ b/crates/wingfold-node/src/tables.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use wingfold_director::interface::{Action, ClassMask, HostId, ProxyId, Retry, TableId};
+use wingfold_settings::retry_number;
 
 /// Bytes of lines in one part, well under the largest frame, and what a line takes besides its host's name.
 const PART_BYTES: usize = 1 << 19;
@@ -27,12 +28,30 @@
 }
 
 /// What one answer did to a table.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, PartialEq)]
 struct Touched {
     before: Lines,
     cleared: bool,
 }
 
+/// What one answer did, as far as it is not in the tables already.
+#[derive(Debug, Default, PartialEq)]
+struct Answer {
+    touched: BTreeMap<TableId, Touched>,
+    /// Classes that were bound.
+    fresh: BTreeSet<(ProxyId, usize)>,
+    /// Tables that were given levels.
+    levelled: BTreeSet<TableId>,
+    /// Everyone was given levels.
+    all_levelled: bool,
+    /// Hosts that were shut out or let back.
+    hosts: BTreeSet<HostId>,
+    marks: Vec<(bool, u64)>,
+}
+
+/// Lines that are to change, for each table that changes at all.
+type Changes = BTreeMap<TableId, Vec<(HostId, f64)>>;
+
 /// What a stream was told.
 #[derive(Debug)]
 struct Stream {
@@ -96,21 +115,42 @@
     /// Carries out the table orders of one answer, in their order, and tells what to send. Orders that are
     /// not about tables are passed over.
     pub fn carry_out(&mut self, actions: &[Action]) -> Vec<Order> {
-        let mut touched: BTreeMap<TableId, Touched> = BTreeMap::new();
-        let mut fresh: BTreeSet<(ProxyId, usize)> = BTreeSet::new();
-        let mut levelled: BTreeSet<TableId> = BTreeSet::new();
-        let (mut all_levelled, mut hosts, mut marks) = (false, BTreeSet::new(), Vec::new());
+        let answer = self.take(actions);
+        if answer == Answer::default() {
+            return Vec::new();
+        }
+        let changes = answer.touched.iter().map(|(id, touched)| (*id, self.changes(*id, touched)));
+        let changes: Changes = changes.filter(|(_, lines)| !lines.is_empty()).collect();
+        let mut streams = std::mem::take(&mut self.streams);
+        let mut orders = Vec::new();
+        for (proxy, stream) in &mut streams {
+            let parts = self.parts(*proxy, stream, &answer, &changes);
+            for part in parts.iter().filter(|part| !part.out.is_empty()) {
+                let out = part.out.iter().cloned().map(HostId);
+                self.once_out.entry(*proxy).or_default().extend(out);
+            }
+            if !parts.is_empty() {
+                orders.push(Order { proxy: *proxy, parts });
+            }
+        }
+        self.streams = streams;
+        orders
+    }
+
+    /// Takes the orders into the tables, in their order.
+    fn take(&mut self, actions: &[Action]) -> Answer {
+        let mut answer = Answer::default();
         for action in actions {
             match action {
                 Action::SetLine(id, host, weight) => {
-                    let table = self.touch(&mut touched, *id).0;
+                    let table = self.touch(&mut answer.touched, *id).0;
                     match *weight > 0.0 {
                         true => drop(table.lines.insert(host.clone(), *weight)),
                         false => drop(table.lines.remove(host)),
                     }
                 }
                 Action::ClearTable(id) => {
-                    let (table, touched) = self.touch(&mut touched, *id);
+                    let (table, touched) = self.touch(&mut answer.touched, *id);
                     *table = Table::default();
                     touched.cleared = true;
                 }
@@ -119,7 +159,7 @@
                     if let Some(stream) = self.streams.get_mut(proxy) {
                         for class in classes {
                             stream.bound[class] = Some(*id);
-                            fresh.insert((*proxy, class));
+                            answer.fresh.insert((*proxy, class));
                         }
                     }
                 }
@@ -128,95 +168,68 @@
                         true => self.withdrawn.insert(host.clone()),
                         false => self.withdrawn.remove(host),
                     };
-                    hosts.insert(host.clone());
+                    answer.hosts.insert(host.clone());
                 }
                 Action::Admit(id, mask, level, retry) => {
                     let classes = self.selected(*mask);
                     let levels = match id {
                         Some(id) => {
-                            levelled.insert(*id);
+                            answer.levelled.insert(*id);
                             &mut self.tables.entry(*id).or_default().levels
                         }
                         None => {
-                            all_levelled = true;
+                            answer.all_levelled = true;
                             &mut self.general
                         }
                     };
                     levels.extend(classes.into_iter().map(|class| (class, (*level, *retry))));
                 }
-                Action::Mark(all, number) => marks.push((*all, *number)),
+                Action::Mark(all, number) => answer.marks.push((*all, *number)),
                 Action::Watch(_) | Action::FetchList | Action::Timer(..) => {}
                 Action::Probe(_) | Action::Tell(..) | Action::Log(_) => {}
             }
         }
-        let quiet = touched.is_empty() && fresh.is_empty() && levelled.is_empty() && hosts.is_empty();
-        if quiet && !all_levelled && marks.is_empty() {
-            return Vec::new();
-        }
-        let changes: BTreeMap<TableId, Vec<(HostId, f64)>> =
-            touched.iter().map(|(id, touched)| (*id, self.changes(*id, touched))).collect();
-        let whole = |proxy: ProxyId, class: usize, id: &TableId| {
-            fresh.contains(&(proxy, class)) || touched.get(id).is_some_and(|t| t.cleared)
-        };
-        let mut streams = std::mem::take(&mut self.streams);
-        let mut orders = Vec::new();
-        for (proxy, stream) in &mut streams {
-            let bound = || stream.bound.iter().enumerate();
-            let concerned = all_levelled
-                || bound().any(|(class, id)| {
-                    id.is_some_and(|id| {
-                        whole(*proxy, class, &id)
-                            || levelled.contains(&id)
-                            || changes.get(&id).is_some_and(|c| !c.is_empty())
-                    })
-                })
-                || hosts.iter().any(|host| self.meets(stream, host))
-                || marks.iter().any(|(all, _)| *all);
-            if !concerned {
-                continue;
-            }
-            let mut parts = Vec::new();
-            let mut by_table: BTreeMap<(TableId, bool), Vec<usize>> = BTreeMap::new();
-            for (class, id) in stream.bound.iter().enumerate() {
-                let Some(id) = id else { continue };
-                let whole = whole(*proxy, class, id);
-                if whole || changes.get(id).is_some_and(|c| !c.is_empty()) {
-                    by_table.entry((*id, whole)).or_default().push(class);
-                }
-            }
-            for ((id, whole), classes) in by_table {
-                let lines = match whole {
-                    true => self.lines(id),
-                    false => changes[&id].clone(),
-                };
-                if whole {
-                    classes.iter().for_each(|class| stream.levels[*class] = None);
-                }
-                parts.extend(self.table_parts(&classes, whole, lines));
-            }
-            self.level_parts(stream, &mut parts);
-            self.out_parts(*proxy, stream, &mut parts);
-            for (_, number) in &marks {
-                match parts.last_mut() {
-                    Some(last) if last.ticket.is_none() => last.ticket = Some(*number),
-                    _ => parts.push(Config { ticket: Some(*number), ..Config::default() }),
-                }
+        answer
+    }
+
+    /// One proxy's message: nothing if the answer does not concern it.
+    fn parts(&self, proxy: ProxyId, stream: &mut Stream, answer: &Answer, changes: &Changes) -> Vec<Config> {
+        let mut by_table: BTreeMap<(TableId, bool), Vec<usize>> = BTreeMap::new();
+        for (class, id) in stream.bound.iter().enumerate() {
+            let Some(id) = id else { continue };
+            let cleared = answer.touched.get(id).is_some_and(|touched| touched.cleared);
+            let whole = cleared || answer.fresh.contains(&(proxy, class));
+            if whole || changes.contains_key(id) {
+                by_table.entry((*id, whole)).or_default().push(class);
             }
-            let last = parts.len().saturating_sub(1);
-            parts.iter_mut().take(last).for_each(|part| part.more = true);
-            if !parts.is_empty() {
-                orders.push(Order { proxy: *proxy, parts });
+        }
+        let concerned = answer.all_levelled
+            || !by_table.is_empty()
+            || stream.bound.iter().flatten().any(|id| answer.levelled.contains(id))
+            || answer.hosts.iter().any(|host| self.meets(stream, host))
+            || answer.marks.iter().any(|(all, _)| *all);
+        let mut parts = Vec::new();
+        if !concerned {
+            return parts;
+        }
+        for ((id, whole), classes) in by_table {
+            let lines = if whole { self.lines(id) } else { changes[&id].clone() };
+            if whole {
+                classes.iter().for_each(|class| stream.levels[*class] = None);
             }
+            parts.extend(self.table_parts(&classes, whole, lines));
         }
-        self.streams = streams;
-        for Order { proxy, parts } in &orders {
-            let out = parts.iter().flat_map(|part| part.out.iter().cloned().map(HostId));
-            let mut out = out.peekable();
-            if out.peek().is_some() {
-                self.once_out.entry(*proxy).or_default().extend(out);
+        self.level_parts(stream, &mut parts);
+        self.out_parts(proxy, stream, &mut parts);
+        for (_, number) in &answer.marks {
+            match parts.last_mut() {
+                Some(last) if last.ticket.is_none() => last.ticket = Some(*number),
+                _ => parts.push(Config { ticket: Some(*number), ..Config::default() }),
             }
         }
-        orders
+        let last = parts.len().saturating_sub(1);
+        parts.iter_mut().take(last).for_each(|part| part.more = true);
+        parts
     }
 
     /// A table about to change, and what it was when the answer began.
@@ -306,7 +319,7 @@
             }
         }
         for ((level, retry), classes) in due {
-            let admit = Some(Admit { level, retry: code(retry) });
+            let admit = Some(Admit { level, retry: retry_number(retry) });
             let classes = self.names(&classes);
             match parts.iter_mut().rev().find(|part| part.classes == classes && part.admit.is_none()) {
                 Some(part) => part.admit = admit,
@@ -342,13 +355,3 @@
         }
     }
 }
-
-/// The way of trying again as the protocol numbers it.
-fn code(retry: Retry) -> u8 {
-    match retry {
-        Retry::Never => 0,
-        Retry::OnProof => 1,
-        Retry::Once => 2,
-        Retry::Twice => 3,
-    }
-}
--- a/crates/wingfold-node/src/tables/tests.rs
+++ b/crates/wingfold-node/src/tables/tests.rs
@@ -249,8 +249,9 @@
                     let table = tables.tables.get(bound).cloned().unwrap_or_default();
                     let lines = table.lines.iter().map(|(host, weight)| (host.0.clone(), *weight)).collect();
                     assert_eq!(model.lines[class], lines, "seed {seed}, step {step}: {actions:?}");
-                    let level =
-                        tables.level(stream, class).map(|(level, retry)| Admit { level, retry: code(retry) });
+                    let level = tables
+                        .level(stream, class)
+                        .map(|(level, retry)| Admit { level, retry: retry_number(retry) });
                     assert_eq!(model.levels[class], level, "seed {seed}, step {step}: {actions:?}");
                     for host in table.lines.keys() {
                         let out = model.out.contains(&host.0);
--- a/crates/wingfold-node/tests/common/mod.rs
+++ b/crates/wingfold-node/tests/common/mod.rs
@@ -17,9 +17,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Every wait on a condition ends in a failure after this; a condition that holds is seen long before.
-pub const PATIENCE: Duration = Duration::from_secs(60);
-
 /// Waits until something is so.
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let begun = Instant::now();
@@ -125,7 +122,14 @@
     /// A proxy that has joined.
     pub fn proxy(&self, id: u32, zone: &str) -> Party {
         let mut party = self.connect();
-        party.say(&json!({"type": "SUBSCRIBE", "id": id, "site": zone, "rps": 5.0, "new": true}));
+        party.join(id, zone);
+        party
+    }
+
+    /// A proxy that has joined and heard its first orders.
+    pub fn bound(&self, id: u32, zone: &str) -> Party {
+        let mut party = self.proxy(id, zone);
+        party.orders();
         party
     }
 
@@ -179,71 +183,6 @@
     }
 }
 
-/// A connection to the director, of a proxy, a collector or a stranger.
-pub struct Party {
-    pub stream: TcpStream,
-}
-
-impl Party {
-    pub fn reach(listen: SocketAddr) -> Option<Party> {
-        let stream = TcpStream::connect(listen).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        stream.set_nodelay(true).unwrap();
-        Some(Party { stream })
-    }
-
-    pub fn frame(message: &Value) -> Vec<u8> {
-        let text = message.to_string();
-        [&(text.len() as u32).to_be_bytes()[..], text.as_bytes()].concat()
-    }
-
-    pub fn say(&mut self, message: &Value) {
-        self.stream.write_all(&Self::frame(message)).unwrap();
-    }
-
-    /// The next message; `None` once the connection has ended.
-    pub fn hear(&mut self) -> Option<Value> {
-        let mut head = [0; 4];
-        self.stream.read_exact(&mut head).ok()?;
-        let mut body = vec![0; u32::from_be_bytes(head) as usize];
-        self.stream.read_exact(&mut body).ok()?;
-        Some(serde_json::from_slice(&body).unwrap())
-    }
-
-    /// Whether the director answers a `PING`, orders that come first passed over.
-    pub fn ping(&mut self) -> bool {
-        self.say(&json!({"type": "PING"}));
-        loop {
-            match self.hear() {
-                Some(message) if message["type"] == "PONG" => return true,
-                Some(_) => continue,
-                None => return false,
-            }
-        }
-    }
-
-    /// The next orders: all parts of one message.
-    pub fn orders(&mut self) -> Vec<Value> {
-        let mut parts = Vec::new();
-        loop {
-            let part = self.hear().expect("orders, not the end of the stream");
-            assert_eq!(part["type"], "CONFIG");
-            let more = part["more"] == true;
-            parts.push(part);
-            if !more {
-                return parts;
-            }
-        }
-    }
-
-    /// Whether the director has ended the connection.
-    pub fn is_over(&mut self) -> bool {
-        let begun = Instant::now();
-        while self.hear().is_some() {}
-        begun.elapsed() < PATIENCE
-    }
-}
-
 /// What a proxy holds after orders: the table and the level of each class. It refuses what a proxy refuses.
 #[derive(Debug, Default, PartialEq)]
 pub struct Held {
--- a/crates/wingfold-node/tests/common/standin.rs
+++ b/crates/wingfold-node/tests/common/standin.rs
@@ -1,16 +1,19 @@
-//! Stand-ins for discovery and for hosts, this repository's own, and a small deployment's settings. They speak the
-//! protocol's published form and nothing more.
+//! Stand-ins for discovery, hosts and parties, this repository's own, and a small deployment's settings. They speak
+//! the protocol's published form and nothing more.
 #![allow(dead_code)] // Each user takes a part of this.
 
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Every wait on a condition ends in a failure after this; a condition that holds is seen long before.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
 /// A loopback address of this test's own.
 pub fn own_ip() -> IpAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -246,3 +249,73 @@
         "known": known, "settings": settings()
     })
 }
+
+/// A connection to the director, of a proxy, a collector or a stranger.
+pub struct Party {
+    pub stream: TcpStream,
+}
+
+impl Party {
+    pub fn reach(listen: SocketAddr) -> Option<Party> {
+        let stream = TcpStream::connect(listen).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Some(Party { stream })
+    }
+
+    pub fn frame(message: &Value) -> Vec<u8> {
+        let text = message.to_string();
+        [&(text.len() as u32).to_be_bytes()[..], text.as_bytes()].concat()
+    }
+
+    pub fn say(&mut self, message: &Value) {
+        self.stream.write_all(&Self::frame(message)).unwrap();
+    }
+
+    /// Joins as a proxy.
+    pub fn join(&mut self, id: u32, zone: &str) {
+        self.say(&json!({"type": "SUBSCRIBE", "id": id, "site": zone, "rps": 5.0, "new": true}));
+    }
+
+    /// The next message; `None` once the connection has ended.
+    pub fn hear(&mut self) -> Option<Value> {
+        let mut head = [0; 4];
+        self.stream.read_exact(&mut head).ok()?;
+        let mut body = vec![0; u32::from_be_bytes(head) as usize];
+        self.stream.read_exact(&mut body).ok()?;
+        Some(serde_json::from_slice(&body).unwrap())
+    }
+
+    /// Whether the director answers a `PING`, orders that come first passed over.
+    pub fn ping(&mut self) -> bool {
+        self.say(&json!({"type": "PING"}));
+        loop {
+            match self.hear() {
+                Some(message) if message["type"] == "PONG" => return true,
+                Some(_) => continue,
+                None => return false,
+            }
+        }
+    }
+
+    /// The next orders: all parts of one message.
+    pub fn orders(&mut self) -> Vec<Value> {
+        let mut parts = Vec::new();
+        loop {
+            let part = self.hear().expect("orders, not the end of the stream");
+            assert_eq!(part["type"], "CONFIG");
+            let more = part["more"] == true;
+            parts.push(part);
+            if !more {
+                return parts;
+            }
+        }
+    }
+
+    /// Whether the director has ended the connection.
+    pub fn is_over(&mut self) -> bool {
+        let begun = Instant::now();
+        while self.hear().is_some() {}
+        begun.elapsed() < PATIENCE
+    }
+}
--- a/crates/wingfold-node/tests/life.rs
+++ b/crates/wingfold-node/tests/life.rs
@@ -82,8 +82,7 @@
 fn sigterm_ends_the_program_at_once_and_well() {
     let (_discovery, plan) = plan();
     let mut director = plan.start();
-    let mut proxy = director.proxy(0, "a");
-    proxy.orders();
+    let mut proxy = director.bound(0, "a");
     let begun = Instant::now();
     director.signal("TERM");
     let status = director.end();
--- a/crates/wingfold-node/tests/relays.rs
+++ b/crates/wingfold-node/tests/relays.rs
@@ -72,8 +72,7 @@
     let host = || Host::start(ip, REPORT).addr;
     let discovery = Discovery::start(ip, vec![server("s-1", host(), "a"), server("s-2", host(), "a")]);
     let director = Plan::new(ip, discovery.addr, discovery.known()).start();
-    let mut proxy = director.proxy(0, "a");
-    proxy.orders();
+    let mut proxy = director.bound(0, "a");
     for mood in [Mood::Down, Mood::Garbled, Mood::Silent] {
         let before = director.figure("list_failures_total");
         discovery.mood(mood);
--- a/crates/wingfold-node/tests/streams.rs
+++ b/crates/wingfold-node/tests/streams.rs
@@ -65,8 +65,7 @@
 #[test]
 fn sums_and_usage_of_collectors_and_proxies_reach_the_module() {
     let (_discovery, director) = director();
-    let mut proxy = director.proxy(0, "a");
-    proxy.orders();
+    let mut proxy = director.bound(0, "a");
     let mut collector = director.collector("a");
     // Eight tries in a row lost at one host, none at the others: the module takes it out.
     let sums = |host: &str, fail: u64| json!({"type": "LOAD", "site": "a", "target": host, "count": 8, "fail": fail, "mean": 40.0, "over": 1000.0});
@@ -86,8 +85,7 @@
 #[test]
 fn a_newer_stream_of_a_proxy_replaces_the_older() {
     let (_discovery, director) = director();
-    let mut old = director.proxy(5, "a");
-    old.orders();
+    let mut old = director.bound(5, "a");
     let mut new = director.proxy(5, "a");
     assert!(new.orders()[0]["whole"] == true, "bound anew");
     assert!(old.is_over());
@@ -157,8 +155,7 @@
 #[test]
 fn a_connection_cut_inside_a_message_is_no_fault() {
     let (_discovery, director) = director();
-    let mut party = director.proxy(2, "a");
-    party.orders();
+    let mut party = director.bound(2, "a");
     let usage = json!({"type": "RATE", "id": 2, "lane": "lookup", "count": 1, "fail": 0, "over": 1000.0});
     let frame = Party::frame(&usage);
     party.stream.write_all(&frame[..frame.len() / 2]).unwrap();
@@ -184,8 +181,7 @@
     let (_discovery, mut plan) = world(own_ip());
     plan.config["limits"]["sockets"] = json!(128);
     let director = plan.start();
-    let mut proxy = director.proxy(0, "a");
-    proxy.orders();
+    let mut proxy = director.bound(0, "a");
     let mut strangers = Vec::new();
     for _ in 0..300 {
         strangers.extend(TcpStream::connect(director.listen));
@@ -200,10 +196,8 @@
 #[test]
 fn a_reader_that_leaves_everything_unread_is_bounded_and_ends() {
     let (_discovery, director) = director();
-    let mut other = director.proxy(1, "a");
-    other.orders();
-    let mut proxy = director.proxy(0, "a");
-    proxy.orders();
+    let mut other = director.bound(1, "a");
+    let mut proxy = director.bound(0, "a");
     let before = director.memory();
     // Answers to PINGs that nobody reads fill both sockets' buffers, then what may wait.
     let pings = Party::frame(&json!({"type": "PING"})).repeat(4096);
@@ -233,8 +227,7 @@
     let (_discovery, mut plan) = world(own_ip());
     plan.config["limits"]["memory_mb"] = json!(32);
     let director = plan.start();
-    let mut proxy = director.proxy(0, "a");
-    proxy.orders();
+    let mut proxy = director.bound(0, "a");
     let before = director.memory();
     // Each says that a message of 1 MiB comes and sends nearly all of it: 100 MiB in all.
     let long = [&(1u32 << 20).to_be_bytes()[..], &vec![b' '; (1 << 20) - 1]].concat();
@@ -254,8 +247,7 @@
 #[test]
 fn a_message_of_the_full_length_is_taken_and_a_long_fault_makes_a_short_log_line() {
     let (_discovery, director) = director();
-    let mut proxy = director.proxy(0, "a");
-    proxy.orders();
+    let mut proxy = director.bound(0, "a");
     let mut usage =
         json!({"type": "RATE", "id": 0, "lane": "lookup", "count": 1, "fail": 0, "over": 1000.0, "x": ""});
     usage["x"] = json!("x".repeat((1 << 20) - usage.to_string().len()));
@@ -272,8 +264,7 @@
 #[test]
 fn no_bytes_from_the_network_make_the_director_panic() {
     let (_discovery, mut director) = director();
-    let mut proxy = director.proxy(7, "b");
-    proxy.orders();
+    let mut proxy = director.bound(7, "b");
     let messages = [
         json!({"type": "SOURCE", "site": "a"}),
         json!({"type": "SUBSCRIBE", "id": 3, "site": "a", "rps": 21.5, "new": true}),
--- a/crates/wingfold-settings/src/lib.rs
+++ b/crates/wingfold-settings/src/lib.rs
@@ -174,6 +174,16 @@
     }
 }
 
+/// The way of trying again as both protocols number it.
+pub fn retry_number(retry: api::Retry) -> u8 {
+    match retry {
+        api::Retry::Never => 0,
+        api::Retry::OnProof => 1,
+        api::Retry::Once => 2,
+        api::Retry::Twice => 3,
+    }
+}
+
 /// What a host of the director must know to move messages, and the director itself need not.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Transport {
--- a/crates/wingfold-simhost/src/wire.rs
+++ b/crates/wingfold-simhost/src/wire.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 use thiserror::Error;
 use wingfold_director::interface::{
-    Action, ClassId, Entry, Event, HostId, ListKind, Load, Micros, ProbeOutcome, ProxyId, Readiness, Retry,
-    Sums, ZoneId,
+    Action, ClassId, Entry, Event, HostId, ListKind, Load, Micros, ProbeOutcome, ProxyId, Readiness, Sums,
+    ZoneId,
 };
 use wingfold_settings::{Info, Names};
 
@@ -307,12 +307,7 @@
         }
         Action::Withdraw(host, on) => write!(out, "hold_back\t{}\t{}", flag(on), host.0),
         Action::Admit(table, classes, level, retry) => {
-            let retry = match retry {
-                Retry::Never => 0,
-                Retry::OnProof => 1,
-                Retry::Once => 2,
-                Retry::Twice => 3,
-            };
+            let retry = wingfold_settings::retry_number(*retry);
             let table = table.map_or(ALL_TABLES, |table| table.0);
             write!(out, "allow\t{}\t{level}\t{table}\t{retry}", classes.0)
         }
@@ -329,7 +324,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use wingfold_director::interface::{ClassMask, TableId};
+    use wingfold_director::interface::{ClassMask, Retry, TableId};
 
     fn written(one: Action) -> String {
         let mut out = String::new();
