Reload on SIGHUP; one deadline for strangers; drop spoilt messages one by one

Change: - `reload`: SIGHUP reads GW_CONFIG by its path, checks it, and hands it on by a watch; the file's key goes before the variable then. `discovery` drops calls and connections of the old address, forgets its version and tells the module (`ListMoved`), which asks at once. What else differs is logged by its key. A wrong file is an error line, nothing more. - One deadline from accepting to joining, HTTP included. Silent strangers make room first; before one goes, those accepted last get a turn to be read. - `message` tells what is no JSON (ends the connection) from what is only wrong (dropped whole, counted by reason); hosts that were never listed and marks that were never set are known only to `engine`, which drops those. - Few descriptors no longer keep a director from starting: the check in `config` is gone, a warning is logged, and strangers go before parties when the system refuses a connection.

Ruled out: a restart that would also serve (it loses streams; streams_joined_total stays in the test).

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -155,6 +155,7 @@
                 (self.watching, self.ask_at) = (false, self.after(wait));
                 self.notes.push(format!("list call failed, asking again in {wait:.1} s"));
             }
+            Event::ListMoved => (self.watching, self.ask_at, self.urgent) = (false, self.now, true),
             Event::Joined(id, zone, rate) => {
                 self.zones.entry(zone.clone()).or_default();
                 self.proxies.insert(*id, Proxy::new(zone, rate.max(0.01)));
--- a/crates/wingfold-director/src/interface.rs
+++ b/crates/wingfold-director/src/interface.rs
@@ -58,7 +58,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns full worth.
     pub aim: Micros,
@@ -101,7 +101,7 @@
 }
 
 /// What a director is told when it starts.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// This director's number, from 0.
     pub me: u32,
@@ -248,6 +248,8 @@
     List(ListKind, Vec<Entry>),
     /// A call for the list failed, or the subscription broke.
     ListFailed,
+    /// The list is kept at another place from now on: nothing asked for at the old one will come.
+    ListMoved,
     /// A timer is due.
     Timer(u64),
     /// A probe has ended.
--- a/crates/wingfold-node/src/accept.rs
+++ b/crates/wingfold-node/src/accept.rs
@@ -3,7 +3,7 @@
 
 use crate::door::{Door, Entry, Stranger};
 use crate::incoming::{Ending, Incoming};
-use crate::message::Inbound;
+use crate::message::{Inbound, Spoilt};
 use crate::{collector, frame, log, ops, stream};
 use futures_util::SinkExt;
 use std::io::{self, Cursor};
@@ -13,7 +13,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::task::yield_now;
+use tokio::time::{sleep, timeout_at, Instant};
 use tokio_util::codec::FramedWrite;
 
 /// After a failed accept (descriptors run out, say) the next is tried so much later: trying at once would
@@ -23,6 +24,11 @@
 /// Serves the listener for good.
 pub async fn serve(listener: TcpListener, door: Arc<Door>) {
     loop {
+        // Those taken in last have had no turn yet, and the joining of a proxy may lie ready to be read: it must be
+        // no stranger any more when one of them makes room. A crowd of silent ones pushes out only its own kind.
+        if door.crowded() {
+            yield_now().await;
+        }
         match listener.accept().await {
             Ok((connection, from)) => {
                 door.book.connections_total.one();
@@ -34,6 +40,8 @@
             }
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a connection");
+                // If descriptors ran out, strangers go before parties.
+                door.evict();
                 sleep(AFTER_FAILURE).await;
             }
         }
@@ -53,7 +61,7 @@
             let name = format!("collector of {}", log::plain(&first.site));
             (Some(name), collector::serve(first, *incoming, to, door.clone()).await)
         }
-        Ok(Named::Party(..)) => (None, Ending::Wrong("the first message must name the party")),
+        Ok(Named::Party(..)) => (None, Ending::Wrong(Spoilt::Turn)),
     };
     match &ending {
         Ending::Silent if party.is_none() => door.book.strangers_expired_total.one(),
@@ -80,14 +88,15 @@
     Done,
 }
 
-/// Reads up to the message that names the party, inside the time and the place that strangers have.
+/// Reads up to the message that names the party, inside the time and the place that strangers have. The time runs
+/// from the accepting on, whatever comes meanwhile: bytes one by one, signs of life, requests.
 async fn introduce(connection: TcpStream, stranger: Stranger, door: &Arc<Door>) -> Result<Named, Ending> {
+    let deadline = Instant::now() + door.bounds.naming;
     connection.set_nodelay(true)?;
     let (mut from, mut to) = connection.into_split();
     let named = async {
         let mut first = [0; frame::HEAD];
-        let read = timeout(door.bounds.naming, from.read_exact(&mut first)).await;
-        match read.map_err(|_| Ending::Silent)? {
+        match from.read_exact(&mut first).await {
             Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => return Err(Ending::Closed),
             read => read?,
         };
@@ -96,21 +105,18 @@
             ops::serve(request, door).await;
             return Ok(Named::Done);
         }
+        stranger.speaks();
         let mut incoming =
-            Incoming::new(first, from, door.budget.clone(), door.bounds.naming, door.book.clone());
+            Incoming::new(first, from, door.budget.clone(), door.bounds.silence, door.book.clone());
         loop {
-            match incoming.next().await? {
-                Inbound::Ping => {
-                    let mut framed = FramedWrite::new(&mut to, frame::codec());
-                    let written = timeout(door.bounds.naming, framed.send(door.pong.clone())).await;
-                    written.map_err(|_| Ending::Silent)??;
-                }
+            match incoming.next().await?? {
+                Inbound::Ping => FramedWrite::new(&mut to, frame::codec()).send(door.pong.clone()).await?,
                 message => return Ok(Named::Party(message, Box::new(incoming), to)),
             }
         }
     };
     tokio::select! {
-        named = named => named,
+        named = timeout_at(deadline, named) => named.unwrap_or(Err(Ending::Silent)),
         () = stranger.evicted() => Err(Ending::Ended),
     }
 }
--- a/crates/wingfold-node/src/book.rs
+++ b/crates/wingfold-node/src/book.rs
@@ -1,5 +1,6 @@
 //! Books what happened: counters for `/metrics`, and the check of what must always hold.
 
+use crate::message::Spoilt;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -66,7 +67,12 @@
     streams_replaced_total: "counter", "Streams that a newer one of the same proxy replaced.";
     collectors_total: "counter", "Connections of collectors.";
     messages_in_total: "counter", "Messages read.";
-    messages_bad_total: "counter", "Messages that ended their connection: unreadable, too long, or of the wrong party.";
+    messages_bad_total: "counter", "Messages that ended their connection: unreadable, too long, or a stranger's wrong ones.";
+    messages_spoilt_form_total: "counter", "Messages of parties dropped: a field absent or of another type, or an unknown kind.";
+    messages_spoilt_range_total: "counter", "Messages of parties dropped: a figure out of range.";
+    messages_spoilt_name_total: "counter", "Messages of parties dropped: they name what does not exist, or another party.";
+    messages_spoilt_turn_total: "counter", "Messages of parties dropped: not theirs to send, or not then.";
+    messages_spoilt_mark_total: "counter", "Messages of parties dropped: they answer no mark that is set.";
     reports_dropped_total: "counter", "Sums and usage dropped because the director lags behind.";
     messages_out_total: "counter", "Messages ordered, each for one proxy.";
     parts_out_total: "counter", "Parts those messages were sent in.";
@@ -76,6 +82,7 @@
     readers_slow_total: "counter", "Streams ended because their proxy left too much unread.";
     list_calls_total: "counter", "Calls to discovery.";
     list_failures_total: "counter", "Calls to discovery that failed.";
+    list_moves_total: "counter", "Times that a new configuration named another address of discovery.";
     list_version: "gauge", "Version of the list held.";
     list_hosts: "gauge", "Hosts on the list held.";
     probes_total: "counter", "Probes sent.";
@@ -104,12 +111,37 @@
 }
 
 impl Book {
+    /// Counts a message that was dropped, by its reason.
+    pub fn spoilt(&self, why: Spoilt) {
+        match why {
+            Spoilt::Form => &self.messages_spoilt_form_total,
+            Spoilt::Range => &self.messages_spoilt_range_total,
+            Spoilt::Name => &self.messages_spoilt_name_total,
+            Spoilt::Turn => &self.messages_spoilt_turn_total,
+            Spoilt::Mark => &self.messages_spoilt_mark_total,
+        }
+        .one();
+    }
+
+    /// Messages of parties that were dropped, for whatever reason.
+    pub fn spoilt_total(&self) -> u64 {
+        let counts = [
+            &self.messages_spoilt_form_total,
+            &self.messages_spoilt_range_total,
+            &self.messages_spoilt_name_total,
+            &self.messages_spoilt_turn_total,
+            &self.messages_spoilt_mark_total,
+        ];
+        counts.into_iter().map(Count::get).sum()
+    }
+
     /// Writes the main figures to the log, as one line.
     pub fn log(&self) {
         tracing::info!(
             joined = self.streams_joined.get(),
             messages_in = self.messages_in_total.get(),
             messages_bad = self.messages_bad_total.get(),
+            messages_spoilt = self.spoilt_total(),
             messages_out = self.messages_out_total.get(),
             lines_out = self.lines_out_total.get(),
             channel_most = self.channel_lines_most.get(),
--- a/crates/wingfold-node/src/config.rs
+++ b/crates/wingfold-node/src/config.rs
@@ -11,7 +11,7 @@
 use crate::log;
 
 /// Everything a director is told at its start, checked.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// Its name, the same after a restart.
     pub name: String,
@@ -34,7 +34,7 @@
 }
 
 /// Where datagrams between directors go.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Peers {
     /// Where they arrive.
     pub listen: SocketAddr,
@@ -45,15 +45,18 @@
 }
 
 /// Bounds of the transport: each derived from the settings or the limits where they speak of it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
-    /// Connections at the listener. A quarter of the descriptors is left for probes, discovery, peers, the
-    /// listener itself and what the runtime holds.
+    /// Connections at the listener: the descriptors less those for probes and for what is always open (the log,
+    /// the listener, datagrams, the runtime's own, two calls to discovery and those they replace).
     pub connections: usize,
-    /// Connections that have not named their party: what proxies and collectors leave of the above, and no
-    /// more than a quarter of it.
+    /// Proxies and collectors that may be here at once, by the settings.
+    pub named: usize,
+    /// Connections that have not named their party: what the parties leave of the above, no more than a quarter
+    /// of it, and a few in any case: a proxy is a stranger until its first message is read.
     pub strangers: usize,
-    /// Time to name a party: that of the longest silence the settings allow between a director and its list.
+    /// Time from accepting a connection until it has named its party: the protocol lets one be closed that has
+    /// not joined within a second.
     pub naming: Duration,
     /// Connections of one zone's collector: it has one, and a broken one may not be seen to end at once.
     pub collectors_a_zone: usize,
@@ -82,6 +85,15 @@
     pub probes: usize,
 }
 
+/// Which goes first where a variable and a key of the file say the same thing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum First {
+    /// The variable: at the start.
+    Variable,
+    /// The file's key: once the file was replaced, while the variables are those of the start.
+    Key,
+}
+
 /// What is wrong with the configuration.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -135,25 +147,30 @@
 }
 
 impl Config {
-    /// Reads the process's environment and the file that it names.
-    pub fn from_env() -> Result<Config, ConfigError> {
+    /// Reads the process's environment and the file that it names by its path, as both stand now.
+    pub fn from_env(first: First) -> Result<Config, ConfigError> {
         let path =
             std::env::var("GW_CONFIG").map_err(|_| wrong("GW_CONFIG", "not set: it names the file"))?;
         let text = std::fs::read_to_string(&path)
             .map_err(|problem| ConfigError::File { path: path.clone(), problem })?;
-        Config::read(&text, |key| std::env::var(key).ok())
+        Config::read(&text, first, |key| std::env::var(key).ok())
     }
 
-    /// Reads the file's text; `var` gives the variables, which go before the file's own keys.
-    pub fn read(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    /// Reads the file's text; `var` gives the variables.
+    pub fn read(
+        text: &str,
+        first: First,
+        var: impl Fn(&str) -> Option<String>,
+    ) -> Result<Config, ConfigError> {
         let file: File =
             wingfold_settings::read(text).map_err(|e| wrong(&e.path, &log::plain(&e.problem)))?;
         let (settings, names, transport) =
             (file.settings.settings(), file.settings.names(), file.settings.transport());
         check(&settings, &names)?;
-        let either = |variable: &'static str, key: &'static str, value: Option<String>| {
-            let told = var(variable).map(|value| (variable, value)).or(value.map(|value| (key, value)));
-            told.ok_or_else(|| wrong(variable, &format!("not set, nor is `{key}` in the file")))
+        let either = |variable: &'static str, name: &'static str, value: Option<String>| {
+            let (var, key) = (var(variable).map(|v| (variable, v)), value.map(|value| (name, value)));
+            let told = if first == First::Key { key.or(var) } else { var.or(key) };
+            told.ok_or_else(|| wrong(variable, &format!("not set, nor is `{name}` in the file")))
         };
         let (_, name) = either("GW_NAME", "name", file.name)?;
         let (key, listen) = either("GW_LISTEN", "listen", file.listen)?;
@@ -182,36 +199,52 @@
                 })
             }
         };
-        let bounds = Bounds::derive(&settings, &transport, &file.limits)?;
+        let bounds = Bounds::derive(&settings, &transport, &file.limits);
         let known = file.known;
         Ok(Config { name, listen, discovery, seed, peers, known, settings, names, bounds })
     }
+
+    /// The keys that differ in `new` and take effect at a restart only. The seed and the list remembered are for
+    /// the start alone.
+    pub fn needs_restart(&self, new: &Config) -> Vec<&'static str> {
+        let settings = self.settings != new.settings || self.names != new.names;
+        let differs = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("peers", self.peers != new.peers),
+            ("settings", settings),
+            ("limits", !settings && self.bounds != new.bounds),
+        ];
+        differs.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
+
+    /// This configuration with all of `new` that takes effect at once.
+    pub fn with(&self, new: &Config) -> Config {
+        Config { discovery: new.discovery, known: None, ..self.clone() }
+    }
 }
 
 impl Bounds {
-    fn derive(settings: &Settings, transport: &Transport, limits: &Limits) -> Result<Bounds, ConfigError> {
+    fn derive(settings: &Settings, transport: &Transport, limits: &Limits) -> Bounds {
         let micros = |time: wingfold_director::interface::Micros| Duration::from_micros(time.0);
         let collectors_a_zone = 4;
         let named = settings.proxies as usize + collectors_a_zone * settings.zones.len();
-        let connections = limits.sockets / 4 * 3;
-        // Room for strangers is room for joining: a proxy is a stranger until its first message is read.
-        let least = 16;
-        if connections < named + least {
-            let need = (named + least).div_ceil(3) * 4;
-            let problem = format!("{} descriptors, where the settings' proxies need {need}", limits.sockets);
-            return Err(wrong("limits.sockets", &problem));
-        }
-        let strangers = (connections - named).min(connections / 4).max(least);
+        let probes = (limits.sockets / 8).max(1);
+        let (always_open, least) = (24, 16);
+        // With too few for all proxies it serves those that come first.
+        let connections = limits.sockets.saturating_sub(probes + always_open).max(least);
+        let strangers = connections.saturating_sub(named).min(connections / 4).max(least);
         // Where the settings name no such time, ten seconds stand for it.
         let ask_within = match settings.ask_within.0 {
             0 => Duration::from_secs(10),
             _ => micros(settings.ask_within),
         };
         let aim = settings.classes.iter().map(|class| class.aim).min().map_or(ask_within, micros);
-        Ok(Bounds {
+        Bounds {
             connections,
+            named,
             strangers,
-            naming: ask_within,
+            naming: Duration::from_secs(1),
             collectors_a_zone,
             silence: (micros(settings.report_period) * 300).max(Duration::from_secs(600)),
             unread: 128 << 10,
@@ -222,8 +255,8 @@
             list_bytes: limits.memory_mb.max(8) << 17,
             connect: transport.connect_timeout.unwrap_or(Duration::from_secs(1)),
             probe: aim,
-            probes: (limits.sockets / 8).max(1),
-        })
+            probes,
+        }
     }
 }
 
--- a/crates/wingfold-node/src/discovery.rs
+++ b/crates/wingfold-node/src/discovery.rs
@@ -9,13 +9,15 @@
 use crate::http::{CallError, Http};
 use crate::inbox::{Inbox, News};
 use crate::list::Listing;
-use crate::{log, or_never};
+use crate::{log, or_never, reload};
 use hyper::StatusCode;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
 use wingfold_director::interface::{Event, ListKind};
 
 /// What the module orders.
@@ -38,13 +40,19 @@
     Unreadable(#[from] serde_json::Error),
 }
 
+/// Calls to discovery keep their connection from one to the next.
+fn client(bounds: &Bounds) -> Http {
+    Http::new(bounds.connect, bounds.watch, bounds.list_bytes)
+}
+
 type Answer = Result<Listing, ListError>;
 type Call = Pin<Box<dyn Future<Output = Answer> + Send>>;
 
 /// Speaks with discovery.
 #[derive(Debug)]
 pub struct Discovery {
-    address: Arc<str>,
+    config: watch::Receiver<Arc<Config>>,
+    address: SocketAddr,
     bounds: Bounds,
     pushed: bool,
     http: Http,
@@ -54,15 +62,17 @@
 }
 
 impl Discovery {
-    /// For the discovery of this configuration, which also tells the version of the list remembered.
-    pub fn new(config: &Config, inbox: Inbox, book: Arc<Book>) -> Self {
-        let bounds = config.bounds.clone();
+    /// For the discovery of this configuration, which also tells the version of the list remembered, and of those
+    /// that follow it.
+    pub fn new(config: watch::Receiver<Arc<Config>>, inbox: Inbox, book: Arc<Book>) -> Self {
+        let first = config.borrow().clone();
         Discovery {
-            address: config.discovery.to_string().into(),
-            pushed: !config.settings.list_on_request,
-            http: Http::new(bounds.connect, bounds.watch, bounds.list_bytes),
-            version: config.known.as_ref().map(|list| list.version),
-            bounds,
+            config,
+            address: first.discovery,
+            pushed: !first.settings.list_on_request,
+            http: client(&first.bounds),
+            version: first.known.as_ref().map(|list| list.version),
+            bounds: first.bounds.clone(),
             inbox,
             book,
         }
@@ -75,6 +85,11 @@
         let mut first = true;
         loop {
             tokio::select! {
+                config = reload::changed(&mut self.config) => if config.discovery != self.address {
+                    // What is under way at the old address ends without an answer, and is no failure.
+                    (watch, fetch) = (None, None);
+                    self.follow(config.discovery);
+                },
                 ask = asked.recv() => match ask {
                     None => return,
                     Some(Ask::Watch(false)) => watch = None,
@@ -97,6 +112,15 @@
         }
     }
 
+    /// Turns to another address. Nothing of the old one is kept: neither connections nor the version it gave. The
+    /// module is told, and asks.
+    fn follow(&mut self, address: SocketAddr) {
+        tracing::info!(from = %self.address, to = %address, "discovery has moved");
+        (self.address, self.version, self.http) = (address, None, client(&self.bounds));
+        self.book.list_moves_total.one();
+        self.inbox.put(News::Told(Event::ListMoved));
+    }
+
     /// Begins a call: for what has changed since the list held, if there is one and it is to be a watch.
     fn call(&self, watch: bool, wait: Duration) -> Call {
         let page = match self.version.filter(|_| watch) {
@@ -104,7 +128,7 @@
             Some(version) => format!("/v1/endpoints?after={version}&wait_ms={}", wait.as_millis()),
         };
         self.book.list_calls_total.one();
-        let (http, address) = (self.http.clone(), self.address.clone());
+        let (http, address) = (self.http.clone(), self.address.to_string());
         let within = wait + self.bounds.list_answer;
         Box::pin(async move {
             let begun = Instant::now();
--- a/crates/wingfold-node/src/door.rs
+++ b/crates/wingfold-node/src/door.rs
@@ -4,7 +4,7 @@
 use crate::config::{Bounds, Config};
 use crate::frame::Budget;
 use crate::inbox::Inbox;
-use crate::message::{self, Outbound, Rate};
+use crate::message::{self, Outbound, Rate, Spoilt};
 use crate::outbox::Link;
 use axum::Router;
 use bytes::Bytes;
@@ -35,7 +35,8 @@
     classes: Vec<String>,
     numbers: AtomicU64,
     open: AtomicUsize,
-    strangers: Mutex<BTreeMap<u64, Arc<Notify>>>,
+    /// Those that have said nothing come first, then the oldest.
+    strangers: Mutex<BTreeMap<(bool, u64), Arc<Notify>>>,
     collectors: Mutex<BTreeMap<Arc<str>, Vec<Link>>>,
 }
 
@@ -89,37 +90,49 @@
     }
 
     /// A zone of the settings.
-    pub fn zone(&self, name: &str) -> Option<Arc<str>> {
-        self.zones.iter().find(|zone| ***zone == *name).cloned()
+    pub fn zone(&self, name: &str) -> Result<Arc<str>, Spoilt> {
+        self.zones.iter().find(|zone| ***zone == *name).cloned().ok_or(Spoilt::Name)
     }
 
     /// A proxy's usage as the module is told of it.
-    pub fn usage(&self, rate: &Rate) -> Result<Event, &'static str> {
+    pub fn usage(&self, rate: &Rate) -> Result<Event, Spoilt> {
         let class = self.classes.iter().position(|class| **class == *rate.lane);
-        let class = class.ok_or("the settings have no such class")?;
-        if rate.id >= self.proxies {
-            return Err("the settings have no such proxy");
-        }
-        Ok(Event::Usage(ProxyId(rate.id), ClassId(class), rate.sums()))
+        let class = class.filter(|_| rate.id < self.proxies).ok_or(Spoilt::Name)?;
+        Ok(Event::Usage(ProxyId(rate.id), ClassId(class), rate.sums))
     }
 
     /// Takes a connection in, as a stranger; `None` if all places are taken by parties that have named
-    /// themselves. Where there are too many strangers, the one that has said nothing for longest goes.
+    /// themselves. Where there are too many strangers, one of them goes.
     pub fn enter(self: &Arc<Self>) -> Option<(Entry, Stranger)> {
         let open = self.open.fetch_add(1, Ordering::Relaxed) + 1;
         let entry = Entry(self.clone());
         self.book.connections_open.set(open as u64);
-        let mut strangers = lock(&self.strangers);
-        if open > self.bounds.connections || strangers.len() >= self.bounds.strangers {
-            let (_, evicted) = strangers.pop_first()?;
-            evicted.notify_one();
-            self.book.strangers_evicted_total.one();
+        let full = open > self.bounds.connections || self.crowded();
+        if full && !self.evict() {
+            return None;
         }
         let (number, evicted) = (self.number(), Arc::new(Notify::new()));
-        strangers.insert(number, evicted.clone());
+        lock(&self.strangers).insert((false, number), evicted.clone());
         Some((entry, Stranger { door: self.clone(), number, evicted }))
     }
 
+    /// Whether the next stranger takes the place of another.
+    pub fn crowded(&self) -> bool {
+        lock(&self.strangers).len() >= self.bounds.strangers
+            || self.open.load(Ordering::Relaxed) >= self.bounds.connections
+    }
+
+    /// Closes a stranger's connection: one that has said nothing, if there is one, and of those the oldest. False if
+    /// there is no stranger.
+    pub fn evict(&self) -> bool {
+        let first = lock(&self.strangers).pop_first();
+        first.is_some_and(|(_, evicted)| {
+            evicted.notify_one();
+            self.book.strangers_evicted_total.one();
+            true
+        })
+    }
+
     /// A collector takes its place; the oldest one of the zone goes if there are too many.
     pub fn place(&self, zone: &Arc<str>, link: Link) -> Place<'_> {
         let mut collectors = lock(&self.collectors);
@@ -141,6 +154,14 @@
 }
 
 impl Stranger {
+    /// It has begun a message: others go first.
+    pub fn speaks(&self) {
+        let mut strangers = lock(&self.door.strangers);
+        if let Some(evicted) = strangers.remove(&(false, self.number)) {
+            strangers.insert((true, self.number), evicted);
+        }
+    }
+
     /// Waits until this place is needed for another.
     pub async fn evicted(&self) {
         self.evicted.notified().await;
@@ -149,7 +170,9 @@
 
 impl Drop for Stranger {
     fn drop(&mut self) {
-        lock(&self.door.strangers).remove(&self.number);
+        let mut strangers = lock(&self.door.strangers);
+        strangers.remove(&(false, self.number));
+        strangers.remove(&(true, self.number));
     }
 }
 
--- a/crates/wingfold-node/src/engine.rs
+++ b/crates/wingfold-node/src/engine.rs
@@ -7,7 +7,7 @@
 use crate::inbox::{Intake, News};
 use crate::invariant;
 use crate::list::Addresses;
-use crate::message::{self, Outbound};
+use crate::message::{self, Outbound, Spoilt};
 use crate::outbox::{Link, Slow};
 use crate::peers::Post;
 use crate::probe::Prober;
@@ -131,6 +131,13 @@
                 }
                 events.push(Event::List(kind, entries));
             }
+            // Only here it is known which hosts and marks there are.
+            News::Report(Event::Heard(_, host, ..)) if self.addresses.of(&host.0).is_none() => {
+                self.book.spoilt(Spoilt::Name);
+            }
+            News::Told(Event::Applied(proxy, mark, _)) if !self.tables.answered(proxy, mark) => {
+                self.book.spoilt(Spoilt::Mark);
+            }
             News::Told(event) | News::Report(event) => events.push(event),
         }
         self.book.streams_joined.set(self.links.len() as u64);
--- a/crates/wingfold-node/src/incoming.rs
+++ b/crates/wingfold-node/src/incoming.rs
@@ -2,8 +2,7 @@
 
 use crate::book::Book;
 use crate::frame::{self, Budget};
-use crate::log;
-use crate::message::{self, Inbound};
+use crate::message::{self, Fault, Inbound, Spoilt};
 use futures_util::StreamExt;
 use std::io::{Cursor, ErrorKind};
 use std::sync::Arc;
@@ -25,12 +24,12 @@
     /// It broke, or a frame was too long.
     #[error("broken: {0}")]
     Broken(#[from] std::io::Error),
-    /// A message cannot be read. What was sent may stand in the reason, at any length.
-    #[error("unreadable message: {}", log::plain(&.0.to_string()))]
-    Unreadable(#[from] serde_json::Error),
-    /// A message that this party may not send, or that names what the settings do not have.
+    /// What came is no message: nothing after it can be relied on.
+    #[error("unreadable message: {0}")]
+    Unreadable(String),
+    /// A stranger's message that is wrong; those of parties are dropped, and the connection goes on.
     #[error("wrong message: {0}")]
-    Wrong(&'static str),
+    Wrong(#[from] Spoilt),
     /// Nothing came for too long.
     #[error("silent")]
     Silent,
@@ -74,17 +73,15 @@
         Incoming { frames, silence, book }
     }
 
-    /// From now on so much time may lie between two messages.
-    pub fn allow(&mut self, silence: Duration) {
-        self.silence = silence;
-    }
-
-    /// The next message.
-    pub async fn next(&mut self) -> Result<Inbound, Ending> {
+    /// The next message, or what is wrong with it.
+    pub async fn next(&mut self) -> Result<Result<Inbound, Spoilt>, Ending> {
         let frame = timeout(self.silence, self.frames.next()).await.map_err(|_| Ending::Silent)?;
         let bytes = frame.ok_or(Ending::Closed)??;
-        let message = message::decode(&bytes)?;
         self.book.messages_in_total.one();
-        Ok(message)
+        match message::decode(&bytes) {
+            Ok(message) => Ok(Ok(message)),
+            Err(Fault::Spoilt(spoilt)) => Ok(Err(spoilt)),
+            Err(Fault::Unreadable(problem)) => Err(Ending::Unreadable(problem)),
+        }
     }
 }
--- a/crates/wingfold-node/src/lib.rs
+++ b/crates/wingfold-node/src/lib.rs
@@ -24,13 +24,15 @@
 mod party;
 mod peers;
 mod probe;
+mod reload;
 mod stream;
 mod tables;
 
-pub use config::Config;
+pub use config::{Config, First};
 
 use book::Book;
 use clock::Clock;
+use config::ConfigError;
 use door::Door;
 use engine::{Channel, Engine};
 use std::future::Future;
@@ -38,6 +40,7 @@
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 use wingfold_director::interface::ListKind;
 use wingfold_director::Director;
 
@@ -60,6 +63,9 @@
     /// A task that must run for good has ended.
     #[error("a task that must run for good has ended: {0}")]
     Ended(String),
+    /// The configuration is wrong.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
     /// The runtime cannot start.
     #[error("the runtime cannot start: {0}")]
     Start(#[from] std::io::Error),
@@ -73,22 +79,31 @@
     }
 }
 
-/// Serves as a director until SIGTERM or an interrupt.
-pub async fn run(config: Config) -> Result<(), RunError> {
-    // Signals are heard before the listener answers: from then on a restart may be asked for.
+/// Serves as a director until SIGTERM or an interrupt; at SIGHUP it reads the configuration anew by `read`, which is
+/// told whether variables or the file's keys go first.
+pub async fn run(read: impl Fn(First) -> Result<Config, ConfigError>) -> Result<(), RunError> {
+    // Signals are heard before anything else: one that nobody hears ends the process.
+    let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let (to, config) = watch::channel(Arc::new(read(First::Variable)?));
     let asked = async move {
         tokio::select! {
             _ = terminate.recv() => tracing::info!("asked to end"),
             _ = interrupt.recv() => tracing::info!("interrupted"),
+            () = reload::run(hangup, to, || read(First::Key)) => {}
         }
     };
     serve(config, asked).await
 }
 
-/// Serves as a director until `end` is ready: for programs that have signals of their own.
-pub async fn serve(config: Config, end: impl Future<Output = ()>) -> Result<(), RunError> {
+/// Serves as a director until `end` is ready: for programs that have signals of their own. What `config` holds at the
+/// start is served; of what follows, `Config::with` says what takes effect at once.
+pub async fn serve(
+    config: watch::Receiver<Arc<Config>>,
+    end: impl Future<Output = ()>,
+) -> Result<(), RunError> {
+    let (following, config) = (config.clone(), Config::clone(&config.borrow()));
     let clock = Clock::start();
     let book = Arc::new(Book::default());
     let listener = TcpListener::bind(config.listen).await.map_err(|problem| {
@@ -98,7 +113,7 @@
     let (inbox, intake) = inbox::inbox(config.bounds.reports, book.clone());
     let door = Door::new(&config, inbox.clone(), book.clone(), ops::router(book.clone()));
     let door = Arc::new(door);
-    let discovery = discovery::Discovery::new(&config, inbox.clone(), book.clone());
+    let discovery = discovery::Discovery::new(following, inbox.clone(), book.clone());
     let prober = probe::Prober::new(&config.bounds, inbox.clone(), book.clone());
     let post = match config.peers {
         None => None,
@@ -109,6 +124,10 @@
             Some(Arc::new(post.map_err(failed)?))
         }
     };
+    if config.bounds.connections < config.bounds.named {
+        let (places, parties) = (config.bounds.connections, config.bounds.named);
+        tracing::warn!(places, parties, "key `limits.sockets`: too few for all that may join");
+    }
     let (ask, asked) = tokio::sync::mpsc::unbounded_channel();
     let channel = Channel {
         pace: config.settings.lines_per_s,
@@ -156,12 +175,8 @@
 /// The whole program: reads the configuration, sets up the log, serves.
 pub fn main() -> ExitCode {
     let _log = log::start();
-    let result = Config::from_env().map_err(|error| error.to_string()).and_then(|config| {
-        let mut runtime = tokio::runtime::Builder::new_current_thread();
-        let runtime = runtime.enable_all().build().map_err(|error| RunError::Start(error).to_string())?;
-        runtime.block_on(run(config)).map_err(|error| error.to_string())
-    });
-    match result {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime.map_err(RunError::Start).and_then(|runtime| runtime.block_on(run(Config::from_env))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             tracing::error!("{problem}");
--- a/crates/wingfold-node/src/ops.rs
+++ b/crates/wingfold-node/src/ops.rs
@@ -12,7 +12,6 @@
 use hyper_util::service::TowerToHyperService;
 use std::sync::Arc;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::time::timeout;
 
 /// A request's head holds a few lines; hyper needs so much at least.
 const HEAD_BYTES: usize = 8 << 10;
@@ -36,14 +35,13 @@
     ([(header::CONTENT_TYPE, "text/plain; version=0.0.4")], book.text())
 }
 
-/// Serves one connection whose first bytes begin a request. It keeps its place among the strangers, and has
-/// no more time than they have.
+/// Serves one connection whose first bytes begin a request. It keeps its place among the strangers, and its caller
+/// ends it with their deadline.
 pub async fn serve(connection: impl AsyncRead + AsyncWrite + Unpin, door: &Arc<Door>) {
     let service = TowerToHyperService::new(door.router.clone());
     let mut server = http1::Builder::new();
     server.timer(TokioTimer::new()).header_read_timeout(door.bounds.naming).max_buf_size(HEAD_BYTES);
-    let served = server.serve_connection(TokioIo::new(connection), service);
-    if let Ok(Err(error)) = timeout(door.bounds.naming, served).await {
+    if let Err(error) = server.serve_connection(TokioIo::new(connection), service).await {
         tracing::debug!(%error, "HTTP connection ended");
     }
 }
--- a/crates/wingfold-node/src/party.rs
+++ b/crates/wingfold-node/src/party.rs
@@ -3,30 +3,31 @@
 use crate::door::Door;
 use crate::inbox::News;
 use crate::incoming::{Ending, Incoming};
-use crate::message::Inbound;
+use crate::message::{Inbound, Spoilt};
 use crate::outbox::{Link, Outbox, Slow};
 use tokio::net::tcp::OwnedWriteHalf;
 
-/// Serves until the connection ends; `admit` says what a message means, or what is wrong with it.
+/// Serves until the connection ends; `admit` says what a message means, or what is wrong with it. One that is wrong
+/// is dropped whole: the ones around it are sound.
 pub async fn serve(
     door: &Door,
     (mut from, to): (Incoming, OwnedWriteHalf),
     (link, outbox): (&Link, Outbox),
-    admit: impl Fn(Inbound) -> Result<News, &'static str>,
+    admit: impl Fn(Inbound) -> Result<News, Spoilt>,
 ) -> Ending {
-    from.allow(door.bounds.silence);
     let reads = async {
         loop {
-            match from.next().await {
+            let news = match from.next().await {
                 Err(ending) => return ending,
-                Ok(Inbound::Ping) => match link.send(vec![door.pong.clone()]) {
-                    Ok(()) => {}
+                Ok(Ok(Inbound::Ping)) => match link.send(vec![door.pong.clone()]) {
+                    Ok(()) => continue,
                     Err(Slow) => return Ending::Slow,
                 },
-                Ok(message) => match admit(message) {
-                    Ok(news) => door.inbox.put(news),
-                    Err(problem) => return Ending::Wrong(problem),
-                },
+                Ok(message) => message.and_then(&admit),
+            };
+            match news {
+                Ok(news) => door.inbox.put(news),
+                Err(spoilt) => door.book.spoilt(spoilt),
             }
         }
     };
--- a/crates/wingfold-node/src/probe.rs
+++ b/crates/wingfold-node/src/probe.rs
@@ -5,7 +5,7 @@
 use crate::http::Http;
 use crate::inbox::{Inbox, News};
 use crate::log;
-use crate::message::LoadReport;
+use crate::message::{LoadReport, Spoilt};
 use hyper::StatusCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,11 +68,13 @@
             _ => return failed,
         };
         // A deployment without reports answers with no body, or with one that says something else.
-        match serde_json::from_slice::<LoadReport>(&body) {
-            Ok(report) => (outcome, report.0),
-            Err(_) if body.is_empty() => (outcome, Load::default()),
+        if body.is_empty() {
+            return (outcome, Load::default());
+        }
+        let report = serde_json::from_slice(&body).map_err(|error| log::plain(&error.to_string()));
+        match report.and_then(|r: LoadReport| r.checked().map_err(|spoilt: Spoilt| spoilt.to_string())) {
+            Ok(load) => (outcome, load),
             Err(error) => {
-                let error = log::plain(&error.to_string());
                 tracing::warn!(address, error, "probe: unreadable load report");
                 failed
             }
--- a/crates/wingfold-node/src/stream.rs
+++ b/crates/wingfold-node/src/stream.rs
@@ -3,7 +3,7 @@
 use crate::door::Door;
 use crate::inbox::{Inbox, News};
 use crate::incoming::{Ending, Incoming};
-use crate::message::{Inbound, Subscribe};
+use crate::message::{Inbound, Spoilt, Subscribe};
 use crate::{outbox, party};
 use std::sync::Arc;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -25,21 +25,19 @@
 /// Serves a stream whose first message was read, until it ends.
 pub async fn serve(first: Subscribe, from: Incoming, to: OwnedWriteHalf, door: Arc<Door>) -> Ending {
     let proxy = ProxyId(first.id);
-    if first.id >= door.proxies {
-        return Ending::Wrong("the settings have no such proxy");
-    }
-    let Some(zone) = door.zone(&first.site) else {
-        return Ending::Wrong("the settings have no such zone");
+    let zone = match door.zone(&first.site) {
+        Ok(zone) if first.id < door.proxies => zone,
+        _ => return Ending::Wrong(Spoilt::Name),
     };
     let (link, outbox) = outbox::link(door.number(), door.bounds.unread);
     let _leaving = Leaving { proxy, link: link.number, inbox: door.inbox.clone() };
-    door.inbox.put(News::Joined(proxy, ZoneId(zone), first.rate(), link.clone()));
+    door.inbox.put(News::Joined(proxy, ZoneId(zone), first.rate, link.clone()));
     door.book.streams_joined_total.one();
     let admit = |message| match message {
-        Inbound::Ack(ack) if ack.id == first.id => Ok(News::Told(Event::Applied(proxy, ack.seq, ack.took()))),
+        Inbound::Ack(ack) if ack.id == first.id => Ok(News::Told(Event::Applied(proxy, ack.seq, ack.took))),
         Inbound::Rate(rate) if rate.id == first.id => door.usage(&rate).map(News::Report),
-        Inbound::Ack(_) | Inbound::Rate(_) => Err("of another proxy"),
-        _ => Err("not one of a proxy that has joined"),
+        Inbound::Ack(_) | Inbound::Rate(_) => Err(Spoilt::Name),
+        _ => Err(Spoilt::Turn),
     };
     party::serve(&door, (from, to), (&link, outbox), admit).await
 }
--- a/crates/wingfold-node/src/tables.rs
+++ b/crates/wingfold-node/src/tables.rs
@@ -61,6 +61,8 @@
     levels: Vec<Option<Level>>,
     out: BTreeSet<HostId>,
     back: BTreeSet<HostId>,
+    /// Marks that were set and not yet answered.
+    marks: BTreeSet<u64>,
 }
 
 /// One answer's orders for one proxy.
@@ -103,7 +105,8 @@
     pub fn joined(&mut self, proxy: ProxyId) {
         let none = vec![None; self.classes.len()];
         let levels = vec![None; self.classes.len()];
-        let stream = Stream { bound: none, levels, out: BTreeSet::new(), back: BTreeSet::new() };
+        let (out, back, marks) = Default::default();
+        let stream = Stream { bound: none, levels, out, back, marks };
         self.streams.insert(proxy, stream);
     }
 
@@ -112,6 +115,15 @@
         self.streams.remove(&proxy);
     }
 
+    /// A proxy says that it has applied all up to a mark: whether that mark waits for an answer. Those before it do
+    /// no more.
+    pub fn answered(&mut self, proxy: ProxyId, mark: u64) -> bool {
+        let marks = self.streams.get_mut(&proxy).map(|stream| &mut stream.marks);
+        let Some(marks) = marks.filter(|marks| marks.contains(&mark)) else { return false };
+        marks.retain(|other| *other > mark);
+        true
+    }
+
     /// Carries out the table orders of one answer, in their order, and tells what to send. Orders that are
     /// not about tables are passed over.
     pub fn carry_out(&mut self, actions: &[Action]) -> Vec<Order> {
@@ -222,6 +234,7 @@
         self.level_parts(stream, &mut parts);
         self.out_parts(proxy, stream, &mut parts);
         for (_, number) in &answer.marks {
+            stream.marks.insert(*number);
             match parts.last_mut() {
                 Some(last) if last.ticket.is_none() => last.ticket = Some(*number),
                 _ => parts.push(Config { ticket: Some(*number), ..Config::default() }),
--- a/crates/wingfold-settings/src/lib.rs
+++ b/crates/wingfold-settings/src/lib.rs
@@ -154,7 +154,7 @@
 }
 
 /// What the codec itself needs to read an instance's later messages.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
     /// Class names by position.
     pub classes: Vec<String>,
@@ -164,14 +164,17 @@
 
 /// Puts one value of a host's load report where the decision module looks for it. Deployments name the values by
 /// the words of their settings' `report.fields`, or by the plain ones of the protocol page; others are ignored.
-pub fn put_load(load: &mut api::Load, name: &str, value: Option<f64>) {
-    match name {
-        "busy_reqs" | "inflight" => load.in_hand = value,
-        "pending" | "queue" => load.waiting = value,
-        "cpu_share" | "util" => load.busy = value,
-        "svc_ms" | "latency_ms" => load.service_ms = value,
-        _ => {}
-    }
+/// Tells whether it is one of those.
+pub fn put_load(load: &mut api::Load, name: &str, value: Option<f64>) -> bool {
+    let place = match name {
+        "busy_reqs" | "inflight" => &mut load.in_hand,
+        "pending" | "queue" => &mut load.waiting,
+        "cpu_share" | "util" => &mut load.busy,
+        "svc_ms" | "latency_ms" => &mut load.service_ms,
+        _ => return false,
+    };
+    *place = value;
+    true
 }
 
 /// The way of trying again as both protocols number it.
@@ -280,8 +283,10 @@
             [["busy_reqs", "pending", "cpu_share", "svc_ms"], ["inflight", "queue", "util", "latency_ms"]]
         {
             let mut load = api::Load::default();
-            words.iter().zip(1..).for_each(|(word, value)| put_load(&mut load, word, Some(f64::from(value))));
-            put_load(&mut load, "served_ps", Some(9.0));
+            for (word, value) in words.iter().zip(1..) {
+                assert!(put_load(&mut load, word, Some(f64::from(value))));
+            }
+            assert!(!put_load(&mut load, "served_ps", Some(9.0)));
             let whole =
                 api::Load { in_hand: Some(1.0), waiting: Some(2.0), busy: Some(3.0), service_ms: Some(4.0) };
             assert_eq!(load, whole);
