Let go of hosts that are long gone, age what silent proxies told, bound log lines

Change: the module lets go of a host that the list has not named for a minute and no table holds (`Forget`), and the node drops its address and what was shut out; usage that others have outlasted by the tries and turns that make silence is void (late for all is silence of none); strangers cause 20 lines in ten seconds at most.

Could do harm: a host that returns later than a minute under its old id is a newcomer and on trial first.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -95,6 +95,8 @@
 const FINE: f64 = 2.0;
 const SHIFT: f64 = 0.25;
 const SAME: f64 = 0.02;
+/// What is kept of a host that the list has not named for so long goes: past any return after a crash.
+const FORGET_S: f64 = 60.0;
 
 impl Director {
     /// A director that knows its settings and nothing else.
@@ -117,6 +119,8 @@
             let mut zones = std::mem::take(&mut self.zones);
             zones.iter_mut().for_each(|(name, zone)| self.judge(name, zone));
             if self.now >= self.next_round {
+                self.forget(&mut zones, FORGET_S, out);
+                self.hush();
                 self.round(&mut zones);
                 self.localize(&mut zones);
                 self.next_round = self.after(ROUND_S.max(self.set.report_period.secs()));
@@ -168,6 +172,7 @@
             Event::Probed(host, _, load) => self.loaded(host, load),
             Event::Usage(proxy, class, sums) => {
                 if let Some(proxy) = self.proxies.get_mut(proxy) {
+                    proxy.told_at = self.now;
                     let rate = sums.total as f64 / sums.over.secs().max(0.1);
                     let usage = proxy.usage.entry(*class).or_insert(rate);
                     *usage += 0.5 * (rate - *usage);
@@ -181,11 +186,11 @@
         let (advice, first) = (self.set.gone_is_advice, self.fleet.is_empty());
         self.urgent = true;
         self.failures = if kind == ListKind::Remembered { self.failures } else { 0 };
-        // A wrong list must not empty the tables: where `gone` is advice, what was ready stays until its
-        // answers fail too.
-        let gone = |host: &mut Host| match advice && host.ready() {
-            true => host.doubted = true,
-            false => host.entry.readiness = Readiness::Gone,
+        // A wrong list must not empty the tables: where `gone` is advice, a host goes when its answers fail.
+        let now = self.now;
+        let gone = |host: &mut Host| match (advice && host.ready(), host.gone_at.get_or_insert(now)) {
+            (true, _) => host.doubted = true,
+            (false, _) => host.entry.readiness = Readiness::Gone,
         };
         if kind != ListKind::Changes {
             let named: BTreeSet<&HostId> = entries.iter().map(|e| &e.host).collect();
@@ -196,15 +201,16 @@
             if entry.readiness != Readiness::Ready {
                 self.notes.push(format!("{} is {:?}", id.0, entry.readiness));
             }
-            if let Some(known) = self.fleet.get_mut(id).filter(|_| entry.readiness == Readiness::Gone) {
-                gone(known);
+            if entry.readiness == Readiness::Gone {
+                self.fleet.get_mut(id).into_iter().for_each(gone);
                 continue;
             }
             let known = self.fleet.get(id);
             let kept = known.map(|k| k.weight).filter(|k| (k / listed - 1.0).abs() < 0.25);
             let same = known.map_or(first, |k| k.ready() && k.entry.started == entry.started);
             let busy = known.and_then(|k| k.busy);
-            let host = Host { entry: entry.clone(), weight: kept.unwrap_or(listed), busy, doubted: false };
+            let (entry, weight) = (entry.clone(), kept.unwrap_or(listed));
+            let host = Host { entry, weight, busy, doubted: false, gone_at: None };
             if host.ready() && !same {
                 // What was heard of the old process is void. Slow start keeps the new one reduced; a quarter
                 // on top would starve a rolling deploy. One that no list named before is on trial first: the
@@ -245,6 +251,17 @@
         path.faded_at = self.now;
     }
 
+    /// A proxy that tells nothing while others do, for as long as silence takes, idles or is half open.
+    fn hush(&mut self) {
+        let last = self.proxies.values().map(|p| p.told_at).max().unwrap_or_default();
+        for proxy in self.proxies.values_mut() {
+            let (rate, quiet) = (proxy.usage.values().sum::<f64>(), last.since(proxy.told_at));
+            if rate * quiet >= SILENT_TRIES && quiet >= SILENT_TURNS * self.set.report_period.secs() {
+                proxy.usage.clear();
+            }
+        }
+    }
+
     fn loaded(&mut self, host: &HostId, load: &Load) {
         if let (Some(host), Some(busy)) = (self.fleet.get_mut(host), load.busy) {
             host.busy = Some((host.busy.map_or(busy, |(known, _)| (known + busy) / 2.0), self.now));
@@ -422,11 +439,6 @@
     }
 
     // ---- 6. Return ---------------------------------------------------------------------------------------
-    /// Time since a host's start, in cold times: under 1 it may still be cold, whatever its ramp says.
-    fn age(&self, host: &Host) -> f64 {
-        host.entry.started.map_or(f64::MAX, |at| self.now.since(at) / self.set.cold.secs().max(1e-3))
-    }
-
     /// Slow start: the share of its capacity that a host surely has by now: it rises at least evenly. In
     /// eighths, so that a ramp does not cost a message a tick.
     fn warmth(&self, host: &Host) -> f64 {
@@ -572,15 +584,12 @@
             let away = usize::from(host.entry.zone != *name);
             let near = zone.near(name, host);
             let place = (ends[away] + host.weight / 2.0) * if away == 0 { 1.0 } else { -1.0 };
-            if factor > 0.0 {
-                ends[away] += host.weight;
-            }
+            ends[away] += if factor > 0.0 { host.weight } else { 0.0 };
             let (warmth, cold) = (self.warmth(host), self.age(host) < 1.0);
             lines.push(Line { id: id.clone(), weight: host.weight, near, factor, warmth, cold, place });
         }
-        for line in &mut lines {
-            line.place /= if line.place > 0.0 { ends[0].max(1e-9) } else { -ends[1].max(1e-9) };
-        }
+        let [own, others] = ends.map(|end| end.max(1e-9));
+        lines.iter_mut().for_each(|l| l.place /= if l.place > 0.0 { own } else { -others });
         lines
     }
 
@@ -647,9 +656,7 @@
         self.queued = (self.queued - pace * self.now.since(self.queued_at)).max(0.0);
         self.queued_at = self.now;
         for (name, zone) in zones.iter_mut() {
-            for group in 0..self.groups.len() {
-                self.update(name, zone, group, out);
-            }
+            (0..self.groups.len()).for_each(|group| self.update(name, zone, group, out));
         }
         self.bind(zones, out);
         self.touched.clear();
@@ -667,17 +674,6 @@
         self.queued + lines <= queue * self.set.queue_max && users.iter().all(free)
     }
 
-    /// Counts what goes to some proxies: all that one answer sends a proxy is one message.
-    fn touch(&mut self, lines: usize, users: &[ProxyId]) {
-        for id in users {
-            self.queued += lines as f64;
-            let Some(proxy) = self.proxies.get_mut(id).filter(|_| self.touched.insert(*id)) else { continue };
-            self.queued += self.set.message_overhead;
-            proxy.sent.push_back(self.now);
-            proxy.sent.drain(..proxy.sent.len().saturating_sub(self.set.messages_max as usize));
-        }
-    }
-
     /// Sends the differences of a zone's tables for a group of classes, each table's if the most urgent may
     /// go now, and then as many new spares as there is room for.
     fn update(&mut self, name: &ZoneId, zone: &mut Zone, group: usize, out: &mut Vec<Action>) {
--- a/crates/wingfold-director/src/interface.rs
+++ b/crates/wingfold-director/src/interface.rs
@@ -308,6 +308,8 @@
     Admit(Option<TableId>, ClassMask, f64, Retry),
     /// Ask for word when this answer's messages are applied; `true`: from every proxy.
     Mark(bool, u64),
+    /// Nothing is kept of a host any more, nor need it be: no table holds it, and the list has long let it go.
+    Forget(HostId),
     /// A line for the log.
     Log(String),
 }
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -11,6 +11,8 @@
     pub(crate) busy: Option<(f64, Micros)>,
     /// The list calls it gone, which is advice only: it stays until its own answers fail as well.
     pub(crate) doubted: bool,
+    /// When the list first left it out, or called it gone, and since then always did.
+    pub(crate) gone_at: Option<Micros>,
 }
 
 /// Tries, losses among them, and time of the good ones in ms.
@@ -137,8 +139,9 @@
     pub(crate) moves: bool,
     /// When messages went to it, within the span that is limited.
     pub(crate) sent: VecDeque<Micros>,
-    /// Requests a second by class, smoothed.
+    /// Requests a second by class, smoothed, and when they were last told.
     pub(crate) usage: BTreeMap<ClassId, f64>,
+    pub(crate) told_at: Micros,
 }
 
 /// One director's decisions.
@@ -184,7 +187,7 @@
     /// One that has just joined.
     pub(crate) fn new(zone: &ZoneId, rate: f64) -> Proxy {
         let (sent, usage) = (VecDeque::new(), BTreeMap::new());
-        Proxy { zone: zone.clone(), rate, slot: None, moves: true, sent, usage }
+        Proxy { zone: zone.clone(), rate, slot: None, moves: true, sent, usage, told_at: Micros(0) }
     }
 }
 
@@ -320,6 +323,11 @@
         f64::from(if self.set.local_first { (directors / zones).max(1) } else { directors })
     }
 
+    /// Time since a host's start, in cold times: under 1 it may still be cold, whatever its ramp says.
+    pub(crate) fn age(&self, host: &Host) -> f64 {
+        host.entry.started.map_or(f64::MAX, |at| self.now.since(at) / self.set.cold.secs().max(1e-3))
+    }
+
     /// A time from now.
     pub(crate) fn after(&self, secs: f64) -> Micros {
         Micros(self.now.0 + Micros::from_secs(secs).0)
@@ -330,6 +338,43 @@
         self.set.classes.iter().map(|c| c.aim.secs() * 1e3).fold(f64::MAX, f64::min)
     }
 
+    /// Lets go of all that is kept of hosts that have been gone for so long and that no table holds.
+    pub(crate) fn forget(&mut self, zones: &mut BTreeMap<ZoneId, Zone>, secs: f64, out: &mut Vec<Action>) {
+        let tables = zones.values().flat_map(|zone| &zone.slots).flat_map(|slot| &slot.tables);
+        let held: BTreeSet<&HostId> = tables.flat_map(|table| table.lines.keys()).collect();
+        let old = |host: &Host| host.gone_at.is_some_and(|at| self.now.since(at) >= secs);
+        let gone = self.fleet.iter().filter(|(id, host)| old(host) && !held.contains(id));
+        let gone: Vec<HostId> = gone.map(|(id, _)| id.clone()).collect();
+        for id in gone {
+            self.fleet.remove(&id);
+            zones.values_mut().for_each(|zone| zone.paths.retain(|path, _| *path != id));
+            out.push(Action::Forget(id));
+        }
+    }
+
+    /// Counts what goes to some proxies: all that one answer sends a proxy is one message.
+    pub(crate) fn touch(&mut self, lines: usize, users: &[ProxyId]) {
+        for id in users {
+            self.queued += lines as f64;
+            let Some(proxy) = self.proxies.get_mut(id).filter(|_| self.touched.insert(*id)) else { continue };
+            self.queued += self.set.message_overhead;
+            proxy.sent.push_back(self.now);
+            proxy.sent.drain(..proxy.sent.len().saturating_sub(self.set.messages_max as usize));
+        }
+    }
+
+    /// How many records are kept, by kind: hosts, paths, lines, proxies, messages sent.
+    pub fn records(&self) -> [usize; 5] {
+        let tables = self.zones.values().flat_map(|zone| &zone.slots).flat_map(|slot| &slot.tables);
+        [
+            self.fleet.len(),
+            self.zones.values().map(|zone| zone.paths.len()).sum(),
+            tables.map(|table| table.lines.len()).sum(),
+            self.proxies.len(),
+            self.proxies.values().map(|proxy| proxy.sent.len()).sum(),
+        ]
+    }
+
     /// The joined proxies of a zone.
     pub(crate) fn proxies_of<'a>(
         &'a self,
--- a/crates/wingfold-node/src/accept.rs
+++ b/crates/wingfold-node/src/accept.rs
@@ -23,6 +23,7 @@
 
 /// Serves the listener for good.
 pub async fn serve(listener: TcpListener, door: Arc<Door>) {
+    let failures = log::Seldom::default();
     loop {
         // Those taken in last have had no turn yet, and the joining of a proxy may lie ready to be read: it must be
         // no stranger any more when one of them makes room. A crowd of silent ones pushes out only its own kind.
@@ -39,7 +40,9 @@
                 tokio::spawn(meet(connection, from, entry, stranger, door.clone()));
             }
             Err(error) => {
-                tracing::warn!(%error, "cannot accept a connection");
+                if let Some(left_out) = failures.line() {
+                    tracing::warn!(%error, left_out, "cannot accept a connection");
+                }
                 // If descriptors ran out, strangers go before parties.
                 door.evict();
                 sleep(AFTER_FAILURE).await;
@@ -72,7 +75,11 @@
     }
     let named = party.as_deref().unwrap_or("stranger");
     if ending.is_fault() {
-        tracing::warn!(party = named, %from, %ending, "connection ended");
+        // Strangers, and those that name a party that does not exist, can come by the hundred.
+        let stranger = party.is_none() || matches!(ending, Ending::Wrong(_));
+        if let Some(left_out) = if stranger { door.strangers_told.line() } else { Some(0) } {
+            tracing::warn!(party = named, %from, %ending, left_out, "connection ended");
+        }
     } else if party.is_some() {
         tracing::info!(party = named, %from, %ending, "connection ended");
     } else {
--- a/crates/wingfold-node/src/book.rs
+++ b/crates/wingfold-node/src/book.rs
@@ -85,6 +85,7 @@
     list_moves_total: "counter", "Times that a new configuration named another address of discovery.";
     list_version: "gauge", "Version of the list held.";
     list_hosts: "gauge", "Hosts on the list held.";
+    hosts_known: "gauge", "Hosts whose address is kept: those listed, and those gone that the module still knows.";
     probes_total: "counter", "Probes sent.";
     probes_failed_total: "counter", "Probes without a good answer.";
     datagrams_in_total: "counter", "Datagrams of peers read.";
--- a/crates/wingfold-node/src/door.rs
+++ b/crates/wingfold-node/src/door.rs
@@ -4,6 +4,7 @@
 use crate::config::{Bounds, Config};
 use crate::frame::Budget;
 use crate::inbox::Inbox;
+use crate::log::Seldom;
 use crate::message::{self, Outbound, Rate, Spoilt};
 use crate::outbox::Link;
 use axum::Router;
@@ -29,6 +30,8 @@
     pub pong: Bytes,
     /// Memory for long messages.
     pub budget: Budget,
+    /// Bounds the lines about strangers.
+    pub strangers_told: Seldom,
     /// Answers HTTP.
     pub router: Router,
     zones: Vec<Arc<str>>,
@@ -74,6 +77,7 @@
             book,
             pong: message::encode(&Outbound::Pong),
             budget: Budget::new(config.bounds.long_messages),
+            strangers_told: Seldom::default(),
             router,
             zones: config.settings.zones.iter().map(|zone| zone.0.clone()).collect(),
             classes: config.names.classes.clone(),
--- a/crates/wingfold-node/src/engine.rs
+++ b/crates/wingfold-node/src/engine.rs
@@ -1,6 +1,9 @@
 //! The one task that owns the decision module: drains what was taken in, calls the module once, and passes its
 //! orders on.
 
+#[cfg(test)]
+mod tests;
+
 use crate::book::Book;
 use crate::clock::Clock;
 use crate::discovery::Ask;
@@ -92,17 +95,22 @@
                 self.take(one, &mut events);
             }
             let now = self.clock.now();
-            let due = |timer: &&Reverse<(Micros, u64)>| timer.0 .0 <= now;
-            while let Some(Reverse((_, token))) = self.timers.peek().filter(due).copied() {
-                self.timers.pop();
-                events.push(Event::Timer(token));
-            }
+            self.ring(now, &mut events);
             if !events.is_empty() {
                 self.answer(now, &mut events, &mut actions);
             }
         }
     }
 
+    /// Takes the timers that are due.
+    fn ring(&mut self, now: Micros, events: &mut Vec<Event>) {
+        let due = |timer: &&Reverse<(Micros, u64)>| timer.0 .0 <= now;
+        while let Some(Reverse((_, token))) = self.timers.peek().filter(due).copied() {
+            self.timers.pop();
+            events.push(Event::Timer(token));
+        }
+    }
+
     /// Turns what was taken in into events.
     fn take(&mut self, news: News, events: &mut Vec<Event>) {
         match news {
@@ -177,6 +185,10 @@
                         post.send(to, &bytes);
                     }
                 }
+                Action::Forget(host) => {
+                    self.addresses.forget(&host.0);
+                    self.tables.forget(&host);
+                }
                 // Names from outside stand in it.
                 Action::Log(text) => tracing::info!("{}", log::plain(&text)),
                 // Orders about tables are in the messages sent above.
@@ -184,6 +196,7 @@
                 Action::Withdraw(..) | Action::Admit(..) | Action::Mark(..) => {}
             }
         }
+        self.book.hosts_known.set(self.addresses.len() as u64);
         self.book.answers_total.one();
         self.book.answer_us_total.add(begun.elapsed().as_micros() as u64);
     }
--- /dev/null
+++ b/crates/wingfold-node/src/engine/tests.rs
@@ -0,0 +1,74 @@
+//! The engine over a long day, on a clock of the test's own.
+
+use super::*;
+use crate::{inbox, list::Listing, outbox, probe, Config, First};
+use serde_json::json;
+use wingfold_director::interface::ZoneId;
+
+#[path = "../../tests/common/standin.rs"]
+mod standin;
+
+/// An engine for the settings of the stand-in, with nothing at its other ends.
+fn engine() -> Engine {
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let mut text = standin::config(nowhere, nowhere, json!(null));
+    text["settings"]["report"]["how"] = json!("silent");
+    let config = Config::read(&text.to_string(), First::Key, |_| None).unwrap();
+    let book = Arc::new(Book::default());
+    let (inbox, _) = inbox::inbox(10, book.clone());
+    Engine {
+        tables: Tables::new(&config.names.classes),
+        prober: probe::Prober::new(&config.bounds, inbox, book.clone()),
+        director: Director::new(config.settings, config.seed),
+        clock: Clock::start(),
+        discovery: tokio::sync::mpsc::unbounded_channel().0,
+        post: None,
+        addresses: Addresses::default(),
+        channel: Channel { pace: 1e6, overhead: 4.0, most: 1e6, ..Channel::default() },
+        book,
+        links: BTreeMap::new(),
+        timers: BinaryHeap::new(),
+    }
+}
+
+#[tokio::test]
+async fn thousands_of_hosts_and_streams_that_come_and_go_leave_no_records_behind() {
+    let mut engine = engine();
+    let (mut events, mut actions) = (Vec::new(), Vec::new());
+    let entry = |number: u32, state: &str| {
+        let mut entry = standin::server(&format!("s-{number}"), "127.0.0.1:1".parse().unwrap(), "a");
+        entry["state"] = json!(state);
+        entry
+    };
+    let start = engine.clock.now().0;
+    let mut outboxes = BTreeMap::new();
+    let mut most = [0; 4];
+    for second in 0..3000u32 {
+        // Each second a host leaves and another one comes, and each proxy in turn opens a new stream.
+        let mut servers = vec![entry(second, "active")];
+        servers.extend(second.checked_sub(6).map(|old| entry(old, "left")));
+        let list = json!({"version": second, "full": false, "servers": servers}).to_string();
+        let list = Listing::read(list.as_bytes()).unwrap();
+        engine.take(News::List(ListKind::Changes, list), &mut events);
+        let proxy = ProxyId(second % 8);
+        let (link, outbox) = outbox::link(u64::from(second), 1 << 20);
+        outboxes.insert(proxy, (link.number, outbox));
+        engine.take(News::Joined(proxy, ZoneId("a".into()), 5.0, link), &mut events);
+        if second % 16 > 7 {
+            // Some are seen to end before the next one comes.
+            engine.take(News::Left(proxy, outboxes[&proxy].0), &mut events);
+        }
+        for quarter in 0..4u64 {
+            let now = Micros(start + u64::from(second) * 1_000_000 + quarter * 250_000);
+            engine.ring(now, &mut events);
+            engine.answer(now, &mut events, &mut actions);
+        }
+        let now = [engine.addresses.len(), engine.tables.records(), engine.links.len(), engine.timers.len()];
+        (0..4).filter(|_| second > 200).for_each(|at| most[at] = most[at].max(now[at]));
+    }
+    let [addresses, tables, links, timers] = most;
+    assert!((6..=80).contains(&addresses), "{addresses} addresses");
+    assert!(tables <= 8 * addresses, "{tables} records of tables and streams");
+    assert!(links <= 8 && timers <= 8, "{links} links, {timers} timers");
+    assert_eq!(engine.book.invariants_broken_total.get(), 0);
+}
--- a/crates/wingfold-node/src/list.rs
+++ b/crates/wingfold-node/src/list.rs
@@ -73,17 +73,27 @@
     }
 }
 
-/// Every host that a list ever named, and where it answers probes.
+/// Every host that a list has named and the module has not let go of, and where it answers probes.
 #[derive(Debug, Default)]
 pub struct Addresses(BTreeMap<Arc<str>, Arc<str>>);
 
 impl Addresses {
-    /// Takes in what a list says; a host that is gone stays known.
+    /// Takes in what a list says; a host that is gone stays known until the module lets go of it.
     pub fn learn(&mut self, listing: &Listing) {
         let servers = listing.servers.iter().map(|s| (s.id.clone(), s.addr.clone()));
         self.0.extend(servers);
     }
 
+    /// Lets go of a host.
+    pub fn forget(&mut self, host: &str) {
+        self.0.remove(host);
+    }
+
+    /// How many hosts are known.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Where a host answers.
     pub fn of(&self, host: &str) -> Option<&Arc<str>> {
         self.0.get(host)
--- a/crates/wingfold-node/src/log.rs
+++ b/crates/wingfold-node/src/log.rs
@@ -1,11 +1,16 @@
 //! The log: one line an event, to standard error, through a bounded queue that drops lines when it is full. A log
 //! that nobody reads can't hold the director up.
 
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
 use tracing::Level;
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 
 /// Lines that may wait to be written: at a few hundred bytes each, a small part of the memory.
 const LINES: usize = 4096;
+/// Lines of a kind that anybody can cause, in such a span.
+const LINES_A_SPAN: u32 = 20;
+const SPAN: Duration = Duration::from_secs(10);
 /// Characters of a text from outside that one line may hold.
 const LONGEST: usize = 200;
 
@@ -19,6 +24,37 @@
     guard
 }
 
+/// Lets a kind of line through that anybody can cause, a few times in a span, and counts those it leaves out.
+#[derive(Debug, Default)]
+pub struct Seldom(Mutex<Told>);
+
+#[derive(Debug, Default)]
+struct Told {
+    since: Option<Instant>,
+    lines: u32,
+    left_out: u64,
+}
+
+impl Seldom {
+    /// Whether the line is to be written, and if so, how many before it were not.
+    pub fn line(&self) -> Option<u64> {
+        self.line_at(Instant::now())
+    }
+
+    fn line_at(&self, now: Instant) -> Option<u64> {
+        let mut told = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if told.since.is_none_or(|since| now.duration_since(since) >= SPAN) {
+            (told.since, told.lines) = (Some(now), 0);
+        }
+        if told.lines >= LINES_A_SPAN {
+            told.left_out += 1;
+            return None;
+        }
+        told.lines += 1;
+        Some(std::mem::take(&mut told.left_out))
+    }
+}
+
 /// A text from outside as it may stand in a line: not too long, and nothing in it that ends a line.
 pub fn plain(text: &str) -> String {
     let shown = text.chars().take(LONGEST).map(|c| if c.is_control() { ' ' } else { c });
@@ -33,6 +69,16 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn lines_that_anybody_can_cause_are_bounded_and_those_left_out_are_told() {
+        let (seldom, start) = (Seldom::default(), Instant::now());
+        let after = |secs: u64| seldom.line_at(start + Duration::from_secs(secs));
+        let written = (0..1000).filter(|_| after(1).is_some()).count();
+        assert_eq!(written, LINES_A_SPAN as usize);
+        assert_eq!(after(12), Some(1000 - u64::from(LINES_A_SPAN)));
+        assert_eq!(after(12), Some(0));
+    }
+
     #[test]
     fn a_text_from_outside_is_short_and_of_one_line() {
         assert_eq!(plain("a\nb\u{1b}c"), "a b c");
--- a/crates/wingfold-node/src/tables.rs
+++ b/crates/wingfold-node/src/tables.rs
@@ -115,6 +115,29 @@
         self.streams.remove(&proxy);
     }
 
+    /// How many records are kept of hosts, streams and marks.
+    #[cfg(test)]
+    pub fn records(&self) -> usize {
+        let lines: usize = self.tables.values().map(|table| table.lines.len()).sum();
+        let told = |s: &Stream| 1 + s.out.len() + s.back.len() + s.marks.len();
+        let streams: usize = self.streams.values().map(told).sum();
+        let shut: usize = self.once_out.values().map(BTreeSet::len).sum();
+        lines + streams + shut + self.withdrawn.len()
+    }
+
+    /// Lets go of a host that will not be named again.
+    pub fn forget(&mut self, host: &HostId) {
+        self.withdrawn.remove(host);
+        for stream in self.streams.values_mut() {
+            stream.out.remove(host);
+            stream.back.remove(host);
+        }
+        self.once_out.retain(|_, hosts| {
+            hosts.remove(host);
+            !hosts.is_empty()
+        });
+    }
+
     /// A proxy says that it has applied all up to a mark: whether that mark waits for an answer. Those before it do
     /// no more.
     pub fn answered(&mut self, proxy: ProxyId, mark: u64) -> bool {
@@ -198,7 +221,7 @@
                 }
                 Action::Mark(all, number) => answer.marks.push((*all, *number)),
                 Action::Watch(_) | Action::FetchList | Action::Timer(..) => {}
-                Action::Probe(_) | Action::Tell(..) | Action::Log(_) => {}
+                Action::Probe(_) | Action::Tell(..) | Action::Forget(_) | Action::Log(_) => {}
             }
         }
         answer
--- a/crates/wingfold-node/src/tables/tests.rs
+++ b/crates/wingfold-node/src/tables/tests.rs
@@ -172,6 +172,33 @@
     assert_eq!(orders.iter().map(marks).collect::<Vec<_>>(), [[5, 6], [5, 6]]);
 }
 
+#[test]
+fn a_mark_waits_for_its_answer_once_and_ends_with_its_stream() {
+    let mut tables = two_classes(&[1, 2]);
+    tables.carry_out(&[line(1, "h1", 1.0), bind(1, 1, 0), bind(2, 1, 0)]);
+    tables.carry_out(&[Action::Mark(true, 5)]);
+    tables.carry_out(&[Action::Mark(true, 7)]);
+    assert!(!tables.answered(ProxyId(1), 6) && !tables.answered(ProxyId(3), 7), "never set");
+    assert!(tables.answered(ProxyId(1), 7), "the ones before it are applied with it");
+    assert!(!tables.answered(ProxyId(1), 7) && !tables.answered(ProxyId(1), 5), "answered before");
+    tables.left(ProxyId(2));
+    tables.joined(ProxyId(2));
+    assert!(!tables.answered(ProxyId(2), 5), "set on the stream before");
+}
+
+#[test]
+fn a_host_that_is_let_go_of_leaves_no_record() {
+    let mut tables = two_classes(&[1]);
+    tables.carry_out(&[line(1, "h1", 1.0), line(1, "h2", 1.0), bind(1, 1, 0)]);
+    let before = tables.records();
+    tables.carry_out(&[line(1, "h3", 1.0)]);
+    tables.carry_out(&[Action::Withdraw(host("h3"), true)]);
+    tables.carry_out(&[line(1, "h3", 0.0)]);
+    assert!(tables.records() > before, "it is shut out");
+    tables.forget(&host("h3"));
+    assert_eq!(tables.records(), before);
+}
+
 #[test]
 fn a_table_too_long_for_one_frame_goes_in_parts_of_one_message() {
     let mut tables = two_classes(&[1]);
--- a/crates/wingfold-node/tests/streams.rs
+++ b/crates/wingfold-node/tests/streams.rs
@@ -4,8 +4,11 @@
 
 use common::{own_ip, server, until, Director, Discovery, Held, Host, Party, Plan};
 use serde_json::{json, Value};
+use std::collections::VecDeque;
 use std::io::Write;
 use std::net::{IpAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 const REPORT: Option<&str> = Some(r#"{"util":0.2,"inflight":1}"#);
@@ -301,6 +304,40 @@
     assert!(director.descriptors() < 128, "{} descriptors", director.descriptors());
 }
 
+#[test]
+fn hundreds_of_strangers_that_keep_coming_neither_push_out_nor_hold_up_who_joins() {
+    let (_discovery, mut plan) = world(own_ip());
+    plan.config["limits"] = json!({"memory_mb": 32, "sockets": 256});
+    plan.config["settings"]["family_info"]["proxy_count"] = json!(150);
+    let director = plan.start();
+    let (listen, over) = (director.listen, AtomicBool::new(false));
+    thread::scope(|scope| {
+        // They come in waves and stay; every third one sends half a message, every third one a sign of life.
+        scope.spawn(|| {
+            let mut strangers = VecDeque::new();
+            while !over.load(Ordering::Relaxed) {
+                for number in 0..100 {
+                    let Some(mut party) = Party::reach(listen) else { continue };
+                    let first = [vec![], vec![0, 0, 0, 90, b'{'], Party::frame(&json!({"type": "PING"}))];
+                    let _ = party.stream.write_all(&first[number % 3]);
+                    strangers.push_back(party);
+                }
+                strangers.drain(..strangers.len().saturating_sub(400));
+            }
+        });
+        until("they take places from each other", || director.figure("strangers_evicted_total") > 100);
+        // Each joins on its first try: a connection that ends instead fails here.
+        let mut proxies: Vec<Party> = (0..150).map(|id| director.proxy(id, "a")).collect();
+        proxies.iter_mut().for_each(|proxy| assert_eq!(proxy.orders()[0]["whole"], true));
+        let mut collectors: Vec<Party> = ["a", "b"].map(|zone| director.collector(zone)).into();
+        assert!(proxies.iter_mut().chain(&mut collectors).all(Party::ping), "and stays");
+        assert!(director.descriptors() < 256, "{} descriptors", director.descriptors());
+        assert_eq!(director.figure("streams_joined_total"), 150);
+        over.store(true, Ordering::Relaxed);
+    });
+    assert!(director.memory() < 32 << 10, "{} KiB", director.memory());
+}
+
 #[test]
 fn a_reader_that_leaves_everything_unread_is_bounded_and_ends() {
     let (_discovery, director) = director();
--- a/crates/wingfold-simhost/src/hosting.rs
+++ b/crates/wingfold-simhost/src/hosting.rs
@@ -76,6 +76,7 @@
             actions.clear();
             instance.director.handle(open.clock, &instance.pending, &mut actions);
             instance.pending.clear();
+            actions.retain(|action| !matches!(action, Action::Forget(_)));
             if !actions.is_empty() {
                 reply.push_str(&format!("source\t{number}\n"));
                 actions.iter().for_each(|action| wire::action(&mut reply, action));
--- a/crates/wingfold-simhost/src/wire.rs
+++ b/crates/wingfold-simhost/src/wire.rs
@@ -286,6 +286,8 @@
 pub fn action(out: &mut String, action: &Action) {
     let flag = |on: &bool| u8::from(*on);
     let written = match action {
+        // The simulator keeps no records for a director.
+        Action::Forget(_) => return,
         Action::Watch(on) => write!(out, "listen\t{}", flag(on)),
         Action::FetchList => write!(out, "get_list"),
         Action::Timer(at, token) => write!(out, "timer\t{}\t{token}", at.0),
