Judge a host by the tries of all zones, and a cut by all hosts behind it

`judge` counted rows of losses zone by zone, so silent and slow hosts went one by one, 6 to 16 s after it began ("out for" lines at 6, 8, 10, 12, 14, 16 s of one trouble), and answers past every aim counted as good. In a cut, each host beyond it took two reports of its own.

Change (brain.rs `heard`, `judge`; state.rs `cut`): a host that a zone has just found useless goes when six tries in a row of all zones were, lost or later than every aim; only while the usual answer is well inside it, losses are not common and cores have time. Another zone goes at once when all its hosts heard of were lost, while most of the own answer. Could do harm: a host that is merely busy for a moment is on trial, then at a quarter for some seconds.

Stand-ins of the tests bind their port once, not after looking for a free one.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -120,7 +120,7 @@
             zones.iter_mut().for_each(|(name, zone)| self.judge(name, zone));
             if self.now >= self.next_round {
                 self.forget(&mut zones, FORGET_S, out);
-                self.hush();
+                self.hush(SILENT_TRIES, SILENT_TURNS);
                 self.round(&mut zones);
                 self.localize(&mut zones);
                 self.next_round = self.after(ROUND_S.max(self.set.report_period.secs()));
@@ -210,7 +210,7 @@
             let same = known.map_or(first, |k| k.ready() && k.entry.started == entry.started);
             let busy = known.and_then(|k| k.busy);
             let (entry, weight) = (entry.clone(), kept.unwrap_or(listed));
-            let host = Host { entry, weight, busy, doubted: false, gone_at: None };
+            let host = Host { entry, weight, busy, row: 0.0, doubted: false, gone_at: None };
             if host.ready() && !same {
                 // What was heard of the old process is void. Slow start keeps the new one reduced; a quarter
                 // on top would starve a rolling deploy. One that no list named before is on trial first: the
@@ -236,10 +236,11 @@
     // ---- 3. Evidence -------------------------------------------------------------------------------------
     fn heard(&mut self, zone: &ZoneId, host: &HostId, sums: Sums, mean: Micros) {
         let (tries, lost) = (sums.total as f64, sums.lost.min(sums.total) as f64);
+        // An answer past every aim earns no more than a loss, where the usual one is well inside.
+        let aim = self.longest_aim_ms();
         let Some(zone) = self.zones.get_mut(zone) else { return };
-        if !self.fleet.contains_key(host) || sums.total == 0 {
-            return;
-        }
+        let late = mean.0 as f64 / 1e3 > aim && self.latency.is_some_and(|usual| usual < aim / 2.0);
+        let Some(known) = self.fleet.get_mut(host).filter(|_| sums.total > 0) else { return };
         let path = zone.paths.entry(host.clone()).or_default();
         path.sum.add(Tally { tries, lost, ms: (tries - lost) * mean.0 as f64 / 1e3 });
         zone.heard = (zone.heard.0 + tries, zone.heard.1 + 1.0 / zone.width.max(1.0));
@@ -248,20 +249,11 @@
         path.good = path.good * fade + tries - lost;
         path.bad = path.bad * fade + lost;
         path.streak = if lost == tries { path.streak + lost } else { 0.0 };
+        let useless = f64::from(u8::from(late || lost == tries));
+        (path.row, known.row) = (useless * (path.row + tries), useless * (known.row + tries));
         path.faded_at = self.now;
     }
 
-    /// A proxy that tells nothing while others do, for as long as silence takes, idles or is half open.
-    fn hush(&mut self) {
-        let last = self.proxies.values().map(|p| p.told_at).max().unwrap_or_default();
-        for proxy in self.proxies.values_mut() {
-            let (rate, quiet) = (proxy.usage.values().sum::<f64>(), last.since(proxy.told_at));
-            if rate * quiet >= SILENT_TRIES && quiet >= SILENT_TURNS * self.set.report_period.secs() {
-                proxy.usage.clear();
-            }
-        }
-    }
-
     fn loaded(&mut self, host: &HostId, load: &Load) {
         if let (Some(host), Some(busy)) = (self.fleet.get_mut(host), load.busy) {
             host.busy = Some((host.busy.map_or(busy, |(known, _)| (known + busy) / 2.0), self.now));
@@ -383,30 +375,35 @@
     }
 
     // ---- 5. Health ---------------------------------------------------------------------------------------
-    /// The fast path: takes out what loses or swallows its requests, zone by zone (a zone that is cut off
-    /// must not withdraw a host for all), and tries it again after a while.
+    /// The fast path: takes out what loses, swallows or long delays requests, zone by zone (one that is cut
+    /// off must not withdraw a host for all, nor judge each host beyond by itself), and tries it again later.
     fn judge(&mut self, name: &ZoneId, zone: &mut Zone) {
         zone.usual = self.usual_loss(zone);
         let (usual, (tries, turns)) = (zone.usual, zone.heard);
+        let cut = self.cut(name, zone, SILENT_TRIES);
         for (id, host) in self.fleet.iter().filter(|(_, host)| host.ready()) {
             let path = zone.paths.entry(id.clone()).or_default();
             // Two witnesses are enough: the list says gone, and nothing comes back.
             let dead = host.doubted && path.streak >= 1.0;
+            // Few tries of one zone tell little; those of all do, once the zone has seen the like itself.
+            let seen = path.row > 0.0 && usual < COMMON_LOSS && self.load < BUSY_MOST;
+            let useless = seen && host.row >= ENOUGH || cut.contains(&host.entry.zone);
             let lossy = path.streak >= OUT_LOST && usual.powf(path.streak) < OUT_CHANCE;
             // Silence is measured by what others reported: sums that are late for all are silence of none.
             let missed = path.missed + (tries - path.seen.0) * path.part;
             let turns = turns - path.seen.1;
             let silent = missed >= SILENT_TRIES && turns >= SILENT_TURNS && usual < COMMON_LOSS;
             match path.state {
-                Health::In if dead || lossy || silent => {
-                    let why = format!("{:.0} lost in a row, {missed:.0} missed", path.streak);
+                Health::In if dead || useless || lossy || silent => {
+                    let (lost, row) = (path.streak, host.row);
+                    let why = format!("{lost:.0} lost in a row, {missed:.0} missed, {row:.0} useless in all");
                     self.notes.push(format!("{} out for {}: {why}", id.0, name.0));
                     (path.stay_s, path.state) = (OUT_S, Health::Out(self.after(OUT_S)));
                 }
                 Health::Out(until) if self.now >= until && !host.doubted => {
                     path.anew(Health::Trial(self.after(TRIAL_S)), 0);
                 }
-                Health::Trial(_) if path.streak >= 2.0 => {
+                Health::Trial(_) if path.row >= 2.0 => {
                     path.stay_s = (2.0 * path.stay_s).min(OUT_LONGEST_S);
                     path.state = Health::Out(self.after(path.stay_s));
                 }
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -9,6 +9,8 @@
     pub(crate) weight: f64,
     /// Busy share of its cores, as last reported, and when.
     pub(crate) busy: Option<(f64, Micros)>,
+    /// Tries in a row, in all zones, that were lost or came late.
+    pub(crate) row: f64,
     /// The list calls it gone, which is advice only: it stays until its own answers fail as well.
     pub(crate) doubted: bool,
     /// When the list first left it out, or called it gone, and since then always did.
@@ -41,6 +43,8 @@
     pub(crate) good: f64,
     pub(crate) bad: f64,
     pub(crate) streak: f64,
+    /// Tries in a row that were lost or, in the mean of their sum, came late.
+    pub(crate) row: f64,
     pub(crate) faded_at: Micros,
     /// Part of the zone's tries that its tables send here, tries that should have come since it was last heard
     /// (while the part was another), and the zone's counts from then on.
@@ -338,6 +342,37 @@
         self.set.classes.iter().map(|c| c.aim.secs() * 1e3).fold(f64::MAX, f64::min)
     }
 
+    /// The other zones that nothing of a zone reaches, while most of its own hosts answer: all tries that the last sums told
+    /// were lost, so many at least.
+    pub(crate) fn cut(&self, name: &ZoneId, zone: &Zone, least: f64) -> BTreeSet<ZoneId> {
+        // Hosts are told of one after the other; each belongs to the same period as long as less has passed.
+        let last = |path: &&Path| self.now.since(path.faded_at) <= 1.5 * self.set.report_period.secs();
+        // By zone: tries lost in a row, and of how many hosts the last one was good or lost.
+        let mut met: BTreeMap<&ZoneId, (f64, [u32; 2])> = BTreeMap::new();
+        for (id, host) in &self.fleet {
+            if let Some(path) = zone.paths.get(id).filter(last) {
+                let (lost, hosts) = met.entry(&host.entry.zone).or_default();
+                *lost += path.streak;
+                hosts[usize::from(path.streak > 0.0)] += 1;
+            }
+        }
+        let home = met.remove(name).is_some_and(|(_, [good, bad])| good >= bad);
+        met.retain(|_, (lost, [good, _])| home && *lost >= least && *good == 0);
+        met.into_keys().cloned().collect()
+    }
+
+    /// Voids the usage of proxies that have told nothing while others did, for so many of their requests and periods:
+    /// they idle, or their streams are half open. What is late is late for all.
+    pub(crate) fn hush(&mut self, tries: f64, turns: f64) {
+        let last = self.proxies.values().map(|p| p.told_at).max().unwrap_or_default();
+        for proxy in self.proxies.values_mut() {
+            let (rate, quiet) = (proxy.usage.values().sum::<f64>(), last.since(proxy.told_at));
+            if rate * quiet >= tries && quiet >= turns * self.set.report_period.secs() {
+                proxy.usage.clear();
+            }
+        }
+    }
+
     /// Lets go of all that is kept of hosts that have been gone for so long and that no table holds.
     pub(crate) fn forget(&mut self, zones: &mut BTreeMap<ZoneId, Zone>, secs: f64, out: &mut Vec<Action>) {
         let tables = zones.values().flat_map(|zone| &zone.slots).flat_map(|slot| &slot.tables);
@@ -375,6 +410,11 @@
         ]
     }
 
+    /// The longest aim of any class.
+    pub(crate) fn longest_aim_ms(&self) -> f64 {
+        self.set.classes.iter().map(|c| c.aim.secs() * 1e3).fold(0.0, f64::max)
+    }
+
     /// The joined proxies of a zone.
     pub(crate) fn proxies_of<'a>(
         &'a self,
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -107,6 +107,49 @@
     }
 }
 
+/// Each second both zones hear two tries of each host; how they ended, and whether a host is out somewhere then.
+fn few_tries(secs: u32, manner: impl Fn(&str, &str) -> Manner, name: &str) -> [bool; 2] {
+    let mut set = settings();
+    set.report_period = at(2.0);
+    let mut world = World::running(set, 12);
+    world.play(8.0, 2, |_, _| FINE);
+    world.play(f64::from(secs), 2, manner);
+    world.wait(0.25);
+    ["east", "west"].map(|place| world.weight(place, name) == 0.0)
+}
+
+#[test]
+fn few_tries_of_each_zone_tell_of_a_host_that_all_find_useless() {
+    // Guards against: many proxies and few tries of each zone, which need round after round to judge alone.
+    let dead = |_: &str, id: &str| if id == "h2" { DEAD } else { FINE };
+    assert_eq!(few_tries(2, dead, "h2"), [true, true], "eight tries of both");
+    let late = |_: &str, id: &str| Manner { ms: if id == "h2" { 1500.0 } else { 100.0 }, loss: 0.0 };
+    assert_eq!(few_tries(2, late, "h2"), [true, true], "answers past every aim earn nothing");
+    let slow = |_: &str, id: &str| Manner { ms: if id == "h2" { 900.0 } else { 100.0 }, loss: 0.0 };
+    assert_eq!(few_tries(4, slow, "h2"), [false, false], "inside an aim: the ranking's affair");
+    let all_late = |_: &str, _: &str| Manner { ms: 1500.0, loss: 0.0 };
+    assert_eq!(few_tries(8, all_late, "h2"), [false, false], "late for all: overload, no outlier");
+}
+
+#[test]
+fn a_zone_that_is_cut_off_lets_go_of_all_hosts_behind_the_cut_at_once_and_no_other_does() {
+    // Guards against: each host behind a cut being judged by its own few tries, seconds apart.
+    let cut = |place: &str, id: &str| {
+        let odd = id[1..].parse::<u32>().unwrap() % 2 == 1;
+        if place == "east" && odd {
+            DEAD
+        } else {
+            FINE
+        }
+    };
+    for host in ["h1", "h5", "h11"] {
+        assert_eq!(few_tries(1, cut, host), [true, false], "{host} lies behind the cut for the east alone");
+    }
+    assert_eq!(few_tries(1, cut, "h4"), [false, false]);
+    let part = |place: &str, id: &str| if ["h1", "h5"].contains(&id) { cut(place, id) } else { FINE };
+    assert_eq!(few_tries(1, part, "h1"), [false, false], "others there answer: no cut");
+}
+
 #[test]
 fn when_nearly_all_look_dead_none_is_taken_out() {
     let mut world = World::running(settings(), 8);
--- a/crates/wingfold-node/tests/common/standin.rs
+++ b/crates/wingfold-node/tests/common/standin.rs
@@ -66,7 +66,7 @@
 impl Discovery {
     /// Serves these entries at a free port of this address.
     pub fn start(ip: IpAddr, entries: Vec<Value>) -> Self {
-        Discovery::at(free(ip), entries)
+        Discovery::at(SocketAddr::new(ip, 0), entries)
     }
 
     /// Serves these entries here.
