Keep late hosts where levels are ignored: the others would jam

There levels are ignored: what a late host no longer gets falls on the others, nothing refuses it, and a jam stays. Line at fault: `useless` in brain.rs `judge`.

Now that rule rests where levels are ignored.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -385,8 +385,10 @@
             let path = zone.paths.entry(id.clone()).or_default();
             // Two witnesses are enough: the list says gone, and nothing comes back.
             let dead = host.doubted && path.streak >= 1.0;
-            // Few tries of one zone tell little; those of all do, once the zone has seen the like itself.
-            let seen = path.row > 0.0 && usual < COMMON_LOSS && self.load < BUSY_MOST;
+            // Few tries of one zone tell little; those of all do, once the zone has seen the like itself. Not
+            // where levels are ignored: nothing relieves the others of what they get then, and a jam spreads.
+            let calm = self.load < BUSY_MOST && self.set.admission != Admission::Ignored;
+            let seen = path.row > 0.0 && usual < COMMON_LOSS && calm;
             let useless = seen && host.row >= ENOUGH || cut.contains(&host.entry.zone);
             let lossy = path.streak >= OUT_LOST && usual.powf(path.streak) < OUT_CHANCE;
             // Silence is measured by what others reported: sums that are late for all are silence of none.
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -109,8 +109,17 @@
 
 /// Each second both zones hear two tries of each host; how they ended, and whether a host is out somewhere then.
 fn few_tries(secs: u32, manner: impl Fn(&str, &str) -> Manner, name: &str) -> [bool; 2] {
+    few_tries_where(Admission::Share, secs, manner, name)
+}
+
+fn few_tries_where(
+    levels: Admission,
+    secs: u32,
+    manner: impl Fn(&str, &str) -> Manner,
+    name: &str,
+) -> [bool; 2] {
     let mut set = settings();
-    set.report_period = at(2.0);
+    (set.report_period, set.admission) = (at(2.0), levels);
     let mut world = World::running(set, 12);
     world.play(8.0, 2, |_, _| FINE);
     world.play(f64::from(secs), 2, manner);
@@ -125,6 +134,8 @@
     assert_eq!(few_tries(2, dead, "h2"), [true, true], "eight tries of both");
     let late = |_: &str, id: &str| Manner { ms: if id == "h2" { 1500.0 } else { 100.0 }, loss: 0.0 };
     assert_eq!(few_tries(2, late, "h2"), [true, true], "answers past every aim earn nothing");
+    let ignored = few_tries_where(Admission::Ignored, 4, late, "h2");
+    assert_eq!(ignored, [false, false], "where nothing can be refused the others would jam");
     let slow = |_: &str, id: &str| Manner { ms: if id == "h2" { 900.0 } else { 100.0 }, loss: 0.0 };
     assert_eq!(few_tries(4, slow, "h2"), [false, false], "inside an aim: the ranking's affair");
     let all_late = |_: &str, _: &str| Manner { ms: 1500.0, loss: 0.0 };
