--- a/crates/wingfold-node/src/book.rs
+++ b/crates/wingfold-node/src/book.rs
@@ -124,8 +124,8 @@
         .one();
     }
 
-    /// Messages of parties that were dropped, for whatever reason.
-    pub fn spoilt_total(&self) -> u64 {
+    /// Messages of parties that were dropped, by reason: form, range, name, turn, mark.
+    fn spoilt_counts(&self) -> String {
         let counts = [
             &self.messages_spoilt_form_total,
             &self.messages_spoilt_range_total,
@@ -133,7 +133,7 @@
             &self.messages_spoilt_turn_total,
             &self.messages_spoilt_mark_total,
         ];
-        counts.into_iter().map(Count::get).sum()
+        counts.map(|count| count.get().to_string()).join("/")
     }
 
     /// Writes the main figures to the log, as one line.
@@ -142,7 +142,7 @@
             joined = self.streams_joined.get(),
             messages_in = self.messages_in_total.get(),
             messages_bad = self.messages_bad_total.get(),
-            messages_spoilt = self.spoilt_total(),
+            messages_spoilt = self.spoilt_counts(),
             messages_out = self.messages_out_total.get(),
             lines_out = self.lines_out_total.get(),
             channel_most = self.channel_lines_most.get(),
