Name spoilt reasons in one place; look through tables only for hosts long gone

Found on re-reading, behaviour unchanged: book.rs listed the five counters of spoilt messages twice; state.rs `forget` gathered every line of every table each round although few rounds have a host to let go of, and went through all paths to drop one.

--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -375,14 +375,16 @@
 
     /// Lets go of all that is kept of hosts that have been gone for so long and that no table holds.
     pub(crate) fn forget(&mut self, zones: &mut BTreeMap<ZoneId, Zone>, secs: f64, out: &mut Vec<Action>) {
-        let tables = zones.values().flat_map(|zone| &zone.slots).flat_map(|slot| &slot.tables);
-        let held: BTreeSet<&HostId> = tables.flat_map(|table| table.lines.keys()).collect();
+        let tables = || zones.values().flat_map(|zone| &zone.slots).flat_map(|slot| &slot.tables);
+        let held = |id: &HostId| tables().any(|table| table.lines.contains_key(id));
         let old = |host: &Host| host.gone_at.is_some_and(|at| self.now.since(at) >= secs);
-        let gone = self.fleet.iter().filter(|(id, host)| old(host) && !held.contains(id));
+        let gone = self.fleet.iter().filter(|(id, host)| old(host) && !held(id));
         let gone: Vec<HostId> = gone.map(|(id, _)| id.clone()).collect();
         for id in gone {
             self.fleet.remove(&id);
-            zones.values_mut().for_each(|zone| zone.paths.retain(|path, _| *path != id));
+            for zone in zones.values_mut() {
+                zone.paths.remove(&id);
+            }
             out.push(Action::Forget(id));
         }
     }
--- a/crates/wingfold-node/src/book.rs
+++ b/crates/wingfold-node/src/book.rs
@@ -114,6 +114,10 @@
 impl Book {
     /// Counts a message that was dropped, by its reason.
     pub fn spoilt(&self, why: Spoilt) {
+        self.spoilt_for(why).one();
+    }
+
+    fn spoilt_for(&self, why: Spoilt) -> &Count {
         match why {
             Spoilt::Form => &self.messages_spoilt_form_total,
             Spoilt::Range => &self.messages_spoilt_range_total,
@@ -121,19 +125,12 @@
             Spoilt::Turn => &self.messages_spoilt_turn_total,
             Spoilt::Mark => &self.messages_spoilt_mark_total,
         }
-        .one();
     }
 
     /// Messages of parties that were dropped, by reason: form, range, name, turn, mark.
     fn spoilt_counts(&self) -> String {
-        let counts = [
-            &self.messages_spoilt_form_total,
-            &self.messages_spoilt_range_total,
-            &self.messages_spoilt_name_total,
-            &self.messages_spoilt_turn_total,
-            &self.messages_spoilt_mark_total,
-        ];
-        counts.map(|count| count.get().to_string()).join("/")
+        let reasons = [Spoilt::Form, Spoilt::Range, Spoilt::Name, Spoilt::Turn, Spoilt::Mark];
+        reasons.map(|why| self.spoilt_for(why).get().to_string()).join("/")
     }
 
     /// Writes the main figures to the log, as one line.
