--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -290,12 +290,8 @@
         }
     }
 
-    /// Moves hosts of one owner in and out of its leading group.
-    fn rank(&mut self, name: &ZoneId, zone: &mut Zone) {
-        // If all exits fail the order stays (design page): losses that most hosts share say nothing of one.
-        if zone.usual >= COMMON_LOSS {
-            return;
-        }
+    /// The score at which half of an owner's listed weight is reached: what its leading group is measured by.
+    pub(crate) fn lead(&self, zone: &Zone) -> Option<f64> {
         let mut scored: Vec<(f64, f64)> = Vec::new();
         for (id, host) in self.ready() {
             let path = zone.paths.get(id).filter(|p| p.state == Health::In);
@@ -303,11 +299,20 @@
         }
         scored.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut left = GROUP_SHARE * scored.iter().map(|s| s.1).sum::<f64>();
-        let lead = scored.iter().find(|s| {
+        let reached = |s: &&(f64, f64)| {
             left -= s.1;
             left <= 0.0
-        });
-        let Some(&(lead, _)) = lead else { return };
+        };
+        scored.iter().find(reached).map(|s| s.0)
+    }
+
+    /// Moves hosts of one owner in and out of its leading group.
+    fn rank(&mut self, name: &ZoneId, zone: &mut Zone) {
+        // If all exits fail the order stays (design page): losses that most hosts share say nothing of one.
+        if zone.usual >= COMMON_LOSS {
+            return;
+        }
+        let Some(lead) = self.lead(zone) else { return };
         let cooled = zone.moved_at.is_none_or(|at| self.now.since(at) >= COOLDOWN_S);
         let aim = self.tightest_aim_ms();
         for (id, path) in zone.paths.iter_mut().filter(|(_, p)| p.fresh && p.state == Health::In) {
@@ -440,7 +445,7 @@
     // ---- 6. Return ---------------------------------------------------------------------------------------
     /// Slow start: the share of its capacity that a host surely has by now: it rises at least evenly. In
     /// eighths, so that a ramp does not cost a message a tick.
-    fn warmth(&self, host: &Host) -> f64 {
+    pub(crate) fn warmth(&self, host: &Host) -> f64 {
         let surely = self.set.start_capacity + (1.0 - self.set.start_capacity) * self.age(host);
         (surely.min(1.0) * 8.0).floor().max(1.0) / 8.0
     }
@@ -498,7 +503,7 @@
     }
 
     /// The level of a class in a zone's tables.
-    fn level(&self, zone: &ZoneId, class: usize) -> f64 {
+    pub(crate) fn level(&self, zone: &ZoneId, class: usize) -> f64 {
         let share = self.share(class);
         match self.set.admission {
             Admission::Share => (share * 20.0).round() / 20.0,
@@ -728,7 +733,7 @@
             table.full = full;
             if anew {
                 out.push(Action::ClearTable(table.id));
-                table.lines.clear();
+                table.clear();
             }
             out.extend(changes.iter().map(|(id, weight)| Action::SetLine(table.id, id.clone(), *weight)));
             let admit = |(class, level): &(ClassId, f64)| {
--- a/crates/wingfold-director/src/interface.rs
+++ b/crates/wingfold-director/src/interface.rs
@@ -1,9 +1,10 @@
 //! What the decision module is told and what it can order. No decision is taken here.
 
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// A point on the caller's clock, or a length of time, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Micros(pub u64);
 
 impl Micros {
@@ -22,31 +23,31 @@
 }
 
 /// A server's address; opaque.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct HostId(pub Arc<str>);
 
 /// A zone; opaque, compared only for equality and order.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ZoneId(pub Arc<str>);
 
 /// A proxy's number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ProxyId(pub u32);
 
 /// A table's number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TableId(pub u32);
 
 /// A class of requests, by its position in the settings.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ClassId(pub usize);
 
 /// A set of classes: bit `k` stands for the class at position `k`; no bit at all for every class.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ClassMask(pub u64);
 
 /// What happens when a request of a class runs twice.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// Safe to repeat.
     #[default]
@@ -58,7 +59,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// An answer within this time earns full worth.
     pub aim: Micros,
@@ -77,7 +78,7 @@
 }
 
 /// How a proxy understands the level of a class.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Admission {
     /// A share of what comes.
     #[default]
@@ -89,7 +90,7 @@
 }
 
 /// Where load reports come from.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LoadReports {
     /// With the sums and with probes.
     #[default]
@@ -101,7 +102,8 @@
 }
 
 /// What a director is told when it starts.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Settings {
     /// This director's number, from 0.
     pub me: u32,
@@ -168,7 +170,7 @@
 }
 
 /// A host's state on the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Readiness {
     /// Runs.
     Ready,
@@ -179,7 +181,7 @@
 }
 
 /// One entry of the list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Which host.
     pub host: HostId,
@@ -196,7 +198,7 @@
 }
 
 /// What a list event holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListKind {
     /// Changed entries.
     Changes,
@@ -207,7 +209,7 @@
 }
 
 /// A host's report of its load; what it does not report is `None`.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests in hand.
     pub in_hand: Option<f64>,
@@ -220,7 +222,7 @@
 }
 
 /// How a probe ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProbeOutcome {
     /// Answered.
     Ok,
@@ -231,7 +233,7 @@
 }
 
 /// Sums over some period of what was tried.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sums {
     /// How many.
     pub total: u64,
@@ -242,7 +244,7 @@
 }
 
 /// What a director can hear.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     /// News of the list.
     List(ListKind, Vec<Entry>),
@@ -271,7 +273,7 @@
 }
 
 /// When a proxy tries another host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Retry {
     /// Never.
     Never,
@@ -284,7 +286,7 @@
 }
 
 /// What a director can order.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Subscribe to the list, or end that.
     Watch(bool),
--- a/crates/wingfold-director/src/lib.rs
+++ b/crates/wingfold-director/src/lib.rs
@@ -8,6 +8,8 @@
 #![warn(missing_docs)]
 
 pub mod brain;
+pub mod checkpoint;
+pub mod inspect;
 pub mod interface;
 mod state;
 
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -1,8 +1,9 @@
 //! What a director remembers: plain records, no decision and no figure. `brain.rs` says what becomes of them.
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Host {
     pub(crate) entry: Entry,
     /// Listed weight that tables use; follows the list only on a real change.
@@ -18,7 +19,8 @@
 }
 
 /// Tries, losses among them, and time of the good ones in ms.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub(crate) struct Tally {
     pub(crate) tries: f64,
     pub(crate) lost: f64,
@@ -26,7 +28,8 @@
 }
 
 /// What a zone knows of a host.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub(crate) struct Path {
     /// Since the last round that used it.
     pub(crate) sum: Tally,
@@ -58,7 +61,7 @@
     pub(crate) new: bool,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Health {
     #[default]
     In,
@@ -67,7 +70,8 @@
 }
 
 /// An owner: what it knows of the hosts, its tables, and when its ranking last moved.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub(crate) struct Zone {
     pub(crate) paths: BTreeMap<HostId, Path>,
     pub(crate) slots: Vec<Slot>,
@@ -94,7 +98,7 @@
 
 /// The tables that some of a zone's proxies share, one for each group of classes, and the part of the hosts
 /// that has listed weight there: from where on the ring of hosts and how much of it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Slot {
     pub(crate) tables: Vec<Table>,
     pub(crate) start: f64,
@@ -116,7 +120,8 @@
 pub(crate) type Changes = (Vec<(HostId, f64)>, Vec<(ClassId, f64)>);
 pub(crate) type Lines = BTreeMap<HostId, f64>;
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub(crate) struct Table {
     pub(crate) id: TableId,
     /// What was ordered: lines, and levels by class.
@@ -124,16 +129,19 @@
     pub(crate) levels: BTreeMap<ClassId, f64>,
     /// The largest weight that this table ever had open: the scale of a usual day.
     pub(crate) full: f64,
+    /// Sum over its lines and levels, each mixed into one number: equal for equal contents, in any order of orders.
+    #[serde(skip)]
+    pub(crate) digest: u64,
 }
 
 /// Classes that may go to the same hosts share a table per zone.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Group {
     pub(crate) sample: Class,
     pub(crate) mask: u64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Proxy {
     pub(crate) zone: ZoneId,
     /// Requests a second that it usually gets, and the slot whose tables it was put on.
@@ -149,7 +157,8 @@
 }
 
 /// One director's decisions.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Director {
     pub(crate) set: Settings,
     pub(crate) random: u64,
@@ -291,13 +300,40 @@
     /// Keeps what was ordered.
     pub(crate) fn ordered(&mut self, changes: Vec<(HostId, f64)>, levels: Vec<(ClassId, f64)>) {
         for (id, weight) in changes {
+            let new = if weight > 0.0 { line_digest(&id, weight) } else { 0 };
+            let old = self.lines.get(&id).map_or(0, |old| line_digest(&id, *old));
+            self.digest = self.digest.wrapping_add(new).wrapping_sub(old);
             match weight > 0.0 {
                 true => self.lines.insert(id, weight),
                 false => self.lines.remove(&id),
             };
         }
-        self.levels.extend(levels);
+        for (class, level) in levels {
+            let old = self.levels.insert(class, level).map_or(0, |old| level_digest(class, old));
+            self.digest = self.digest.wrapping_add(level_digest(class, level)).wrapping_sub(old);
+        }
+    }
+
+    /// Takes all lines out; levels stay.
+    pub(crate) fn clear(&mut self) {
+        self.lines.clear();
+        self.digest_anew();
     }
+
+    /// Works the digest out from what is held.
+    pub(crate) fn digest_anew(&mut self) {
+        let lines = self.lines.iter().map(|(id, weight)| line_digest(id, *weight));
+        let levels = self.levels.iter().map(|(class, level)| level_digest(*class, *level));
+        self.digest = lines.chain(levels).fold(0, u64::wrapping_add);
+    }
+}
+
+fn line_digest(id: &HostId, weight: f64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(id.0.as_bytes(), weight.to_bits())
+}
+
+fn level_digest(class: ClassId, level: f64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(&class.0.to_le_bytes(), level.to_bits())
 }
 
 impl Path {
@@ -400,6 +436,21 @@
         }
     }
 
+    /// One number for all tables (their lines and levels, bit for bit) and for who is bound to which.
+    pub fn digest(&self) -> u64 {
+        let mix = |what: u32, at: u64| xxhash_rust::xxh3::xxh3_64_with_seed(&what.to_le_bytes(), at);
+        let tables = self.zones.values().flat_map(|zone| &zone.slots).flat_map(|slot| &slot.tables);
+        let tables = tables.map(|table| mix(table.id.0, table.digest));
+        let bound = self.proxies.iter().filter_map(|(id, p)| Some(mix(!id.0, p.slot? as u64)));
+        tables.chain(bound).fold(0, u64::wrapping_add)
+    }
+
+    /// Works out all digests from what the tables hold.
+    pub(crate) fn digest_anew(&mut self) {
+        let slots = self.zones.values_mut().flat_map(|zone| &mut zone.slots);
+        slots.flat_map(|slot| &mut slot.tables).for_each(Table::digest_anew);
+    }
+
     /// How many records are kept, by kind: hosts, paths, lines, proxies, messages sent.
     pub fn records(&self) -> [usize; 5] {
         let tables = self.zones.values().flat_map(|zone| &zone.slots).flat_map(|slot| &slot.tables);
--- /dev/null
+++ b/crates/wingfold-lab/scenarios/cut-zone.hcl
@@ -0,0 +1,41 @@
+scenario "cut-zone" {
+  about = "A hall is cut off from the others, and healed."
+  rate = 80
+  directors = 3
+}
+
+hosts "full" {
+  count = 7
+  cores = 3
+  speed = [0.85, 1.1]
+}
+
+hosts "slow" {
+  count = 7
+  cores = 3
+  speed = [0.51, 0.69]
+}
+
+class "score" {
+  share    = 0.85
+  work_ms  = [110, 150]
+  aim      = "1s"
+  deadline = "3s"
+  worth    = 1
+  effect   = "safe"
+}
+
+class "verdict" {
+  share    = 0.15
+  work_ms  = [50, 70]
+  aim      = "600ms"
+  deadline = "2s"
+  worth    = 6
+  effect   = "keyed"
+}
+
+fault "cut" {
+  at = "15s"
+  lasts = "15s"
+  zone = "b"
+}
--- /dev/null
+++ b/crates/wingfold-lab/scenarios/hang-and-vanish.hcl
@@ -0,0 +1,46 @@
+scenario "hang-and-vanish" {
+  about = "Hosts take requests and answer none, others go silent."
+  rate = 80
+}
+
+hosts "full" {
+  count = 7
+  cores = 3
+  speed = [0.85, 1.1]
+}
+
+hosts "slow" {
+  count = 7
+  cores = 3
+  speed = [0.51, 0.69]
+}
+
+class "score" {
+  share    = 0.85
+  work_ms  = [110, 150]
+  aim      = "1s"
+  deadline = "3s"
+  worth    = 1
+  effect   = "safe"
+}
+
+class "verdict" {
+  share    = 0.15
+  work_ms  = [50, 70]
+  aim      = "600ms"
+  deadline = "2s"
+  worth    = 6
+  effect   = "keyed"
+}
+
+fault "hang" {
+  at = "12s"
+  lasts = "20s"
+  part = 0.15
+}
+
+fault "vanish" {
+  at = "25s"
+  lasts = "15s"
+  part = 0.15
+}
--- /dev/null
+++ b/crates/wingfold-lab/scenarios/slow-kind.hcl
@@ -0,0 +1,34 @@
+scenario "slow-kind" {
+  about = "One kind of machine is slower than its listed size says: docs/incidents/slow-kind.md."
+  rate = 125
+}
+
+hosts "full" {
+  count = 7
+  cores = 3
+  speed = [0.85, 1.1]
+}
+
+hosts "slow" {
+  count = 7
+  cores = 3
+  speed = [0.3, 0.4]
+}
+
+class "score" {
+  share    = 0.85
+  work_ms  = [110, 150]
+  aim      = "1s"
+  deadline = "3s"
+  worth    = 1
+  effect   = "safe"
+}
+
+class "verdict" {
+  share    = 0.15
+  work_ms  = [50, 70]
+  aim      = "600ms"
+  deadline = "2s"
+  worth    = 6
+  effect   = "keyed"
+}
--- /dev/null
+++ b/crates/wingfold-lab/src/lib.rs
@@ -0,0 +1,16 @@
+//! A small emulator: directors with the real decision module, and around them hosts, proxies, reports, discovery and
+//! faults in virtual time, all from a seed. It checks the five rules itself. It is a stand-in for a site, not a model of
+//! any real machine; what it is good for is playing the same trouble again and comparing builds on it.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod experiment;
+mod host;
+mod proxy;
+pub mod report;
+pub mod rules;
+pub mod scenario;
+pub mod world;
+
+pub use scenario::Scenario;
+pub use world::{play, Played};
--- a/crates/wingfold-node/src/book.rs
+++ b/crates/wingfold-node/src/book.rs
@@ -95,6 +95,12 @@
     answer_us_total: "counter", "Time spent in the decision module and on its orders, in microseconds.";
     events_most: "gauge", "Most events taken into one call of the module.";
     invariants_broken_total: "counter", "Times that something did not hold that must; see the log.";
+    capture_calls_lost_total: "counter", "Calls that the capture did not record: its writer did not keep up.";
+    capture_bytes_total: "counter", "Bytes that the capture has written.";
+    capture_held_bytes: "gauge", "Bytes that a capture in memory holds.";
+    capture_waiting_bytes: "gauge", "Bytes that wait for the capture's writer.";
+    capture_failures_total: "counter", "Times that the capture's disk failed.";
+    capture_dumps_total: "counter", "Times that a capture in memory was written out.";
     requests_http_total: "counter", "HTTP requests answered.";
 }
 
--- a/crates/wingfold-node/src/config.rs
+++ b/crates/wingfold-node/src/config.rs
@@ -3,6 +3,7 @@
 
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 use wingfold_director::interface::Settings;
 use wingfold_settings::{Info, Names, Transport};
@@ -83,6 +84,8 @@
     pub probe: Duration,
     /// Probes under way at once: an eighth of the descriptors.
     pub probes: usize,
+    /// All the memory there is, in bytes.
+    pub memory: usize,
 }
 
 /// Which goes first where a variable and a key of the file say the same thing.
@@ -147,10 +150,15 @@
 }
 
 impl Config {
-    /// Reads the process's environment and the file that it names by its path, as both stand now.
-    pub fn from_env(first: First) -> Result<Config, ConfigError> {
-        let path =
-            std::env::var("GW_CONFIG").map_err(|_| wrong("GW_CONFIG", "not set: it names the file"))?;
+    /// Reads the process's environment and the file that it names by its path, as both stand now; `file` goes before
+    /// the one that `GW_CONFIG` names.
+    pub fn from_env(file: Option<&Path>, first: First) -> Result<Config, ConfigError> {
+        let path = match file {
+            Some(path) => path.display().to_string(),
+            None => {
+                std::env::var("GW_CONFIG").map_err(|_| wrong("GW_CONFIG", "not set: it names the file"))?
+            }
+        };
         let text = std::fs::read_to_string(&path)
             .map_err(|problem| ConfigError::File { path: path.clone(), problem })?;
         Config::read(&text, first, |key| std::env::var(key).ok())
@@ -256,7 +264,27 @@
             connect: transport.connect_timeout.unwrap_or(Duration::from_secs(1)),
             probe: aim,
             probes,
+            memory: limits.memory_mb << 20,
+        }
+    }
+
+    /// The same where something else takes so many bytes and descriptors of the limits.
+    pub fn less(&self, bytes: usize, descriptors: usize) -> Result<Bounds, ConfigError> {
+        if bytes > self.memory / 2 {
+            let (needs, has) = (bytes >> 20, self.memory >> 20);
+            return Err(wrong(
+                "capture",
+                &format!("its memory and queue take {needs} MB of {has}; half at most may go"),
+            ));
         }
+        let left = |of: usize| (of as f64 * (1.0 - bytes as f64 / self.memory.max(1) as f64)) as usize;
+        let least = self.strangers.min(self.connections);
+        Ok(Bounds {
+            connections: self.connections.saturating_sub(descriptors).max(least),
+            long_messages: left(self.long_messages),
+            list_bytes: left(self.list_bytes),
+            ..self.clone()
+        })
     }
 }
 
--- a/crates/wingfold-node/src/engine.rs
+++ b/crates/wingfold-node/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::outbox::{Link, Slow};
 use crate::peers::Post;
 use crate::probe::Prober;
+use crate::recorder::Dumps;
 use crate::tables::{Order, Tables};
 use crate::{log, or_never};
 use std::cmp::Reverse;
@@ -22,6 +23,8 @@
 use std::time::Instant;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep_until;
+use wingfold_archive::Mailbox;
+use wingfold_capture::Tap;
 use wingfold_director::interface::{Action, Event, ListKind, Micros, ProxyId};
 use wingfold_director::Director;
 
@@ -52,6 +55,12 @@
     pub links: BTreeMap<ProxyId, Link>,
     /// Timers that are set.
     pub timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    /// Calls of the module so far: a decision's line in the log bears the number of its call, as a capture does.
+    pub calls: u64,
+    /// Writes each call down, where that is switched on.
+    pub tap: Option<Tap<Mailbox>>,
+    /// Writes out what a capture in memory holds.
+    pub dumps: Option<Dumps>,
 }
 
 /// The channel's own count of lines, by its usual pace: only to see that the module keeps within it.
@@ -160,7 +169,16 @@
     /// Calls the module once and passes on all that it orders.
     fn answer(&mut self, now: Micros, events: &mut Vec<Event>, actions: &mut Vec<Action>) {
         let begun = Instant::now();
+        let broken = self.book.invariants_broken_total.get();
+        self.calls += 1;
+        if let Some(tap) = &mut self.tap {
+            tap.before(now, &self.director);
+        }
         self.director.handle(now, events, actions);
+        if let Some(tap) = &mut self.tap {
+            tap.after(now, events, actions, self.director.digest());
+            self.book.capture_calls_lost_total.set(tap.lost());
+        }
         self.book.events_most.at_least(events.len() as u64);
         events.clear();
         let orders = self.tables.carry_out(actions);
@@ -190,7 +208,7 @@
                     self.tables.forget(&host);
                 }
                 // Names from outside stand in it.
-                Action::Log(text) => tracing::info!("{}", log::plain(&text)),
+                Action::Log(text) => tracing::info!(call = self.calls, "{}", log::plain(&text)),
                 // Orders about tables are in the messages sent above.
                 Action::SetLine(..) | Action::ClearTable(_) | Action::Bind(..) => {}
                 Action::Withdraw(..) | Action::Admit(..) | Action::Mark(..) => {}
@@ -199,6 +217,10 @@
         self.book.hosts_known.set(self.addresses.len() as u64);
         self.book.answers_total.one();
         self.book.answer_us_total.add(begun.elapsed().as_micros() as u64);
+        if let Some(dumps) = self.dumps.as_ref().filter(|_| self.book.invariants_broken_total.get() > broken)
+        {
+            dumps.invariant();
+        }
     }
 
     /// Encodes one proxy's orders and queues them on its stream.
--- a/crates/wingfold-node/src/engine/tests.rs
+++ b/crates/wingfold-node/src/engine/tests.rs
@@ -4,9 +4,7 @@
 use crate::{inbox, list::Listing, outbox, probe, Config, First};
 use serde_json::json;
 use wingfold_director::interface::ZoneId;
-
-#[path = "../../tests/common/standin.rs"]
-mod standin;
+use wingfold_standins as standin;
 
 /// An engine for the settings of the stand-in, with nothing at its other ends.
 fn engine() -> Engine {
@@ -28,6 +26,9 @@
         book,
         links: BTreeMap::new(),
         timers: BinaryHeap::new(),
+        calls: 0,
+        tap: None,
+        dumps: None,
     }
 }
 
--- a/crates/wingfold-node/src/lib.rs
+++ b/crates/wingfold-node/src/lib.rs
@@ -24,11 +24,13 @@
 mod party;
 mod peers;
 mod probe;
+mod recorder;
 mod reload;
 mod stream;
 mod tables;
 
 pub use config::{Config, First};
+pub use recorder::build;
 
 use book::Book;
 use clock::Clock;
@@ -43,6 +45,7 @@
 use tokio::sync::watch;
 use wingfold_director::interface::ListKind;
 use wingfold_director::Director;
+use wingfold_settings::own::Own;
 
 /// The log shows the main figures so often: `/metrics` has all of them, but not those of a director that is gone.
 const FIGURES_EVERY: std::time::Duration = std::time::Duration::from_secs(10);
@@ -80,8 +83,8 @@
 }
 
 /// Serves as a director until SIGTERM or an interrupt; at SIGHUP it reads the configuration anew by `read`, which is
-/// told whether variables or the file's keys go first.
-pub async fn run(read: impl Fn(First) -> Result<Config, ConfigError>) -> Result<(), RunError> {
+/// told whether variables or the file's keys go first. `own` is what the platform's configuration does not speak of.
+pub async fn run(own: Own, read: impl Fn(First) -> Result<Config, ConfigError>) -> Result<(), RunError> {
     // Signals are heard before anything else: one that nobody hears ends the process.
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
@@ -94,16 +97,19 @@
             () = reload::run(hangup, to, || read(First::Key)) => {}
         }
     };
-    serve(config, asked).await
+    serve(config, own, asked).await
 }
 
 /// Serves as a director until `end` is ready: for programs that have signals of their own. What `config` holds at the
 /// start is served; of what follows, `Config::with` says what takes effect at once.
 pub async fn serve(
     config: watch::Receiver<Arc<Config>>,
+    own: Own,
     end: impl Future<Output = ()>,
 ) -> Result<(), RunError> {
-    let (following, config) = (config.clone(), Config::clone(&config.borrow()));
+    let (following, mut config) = (config.clone(), Config::clone(&config.borrow()));
+    // What the capture takes is taken from the same limits, not on top of them.
+    config.bounds = config.bounds.less(own.memory(), own.descriptors())?;
     let clock = Clock::start();
     let book = Arc::new(Book::default());
     let listener = TcpListener::bind(config.listen).await.map_err(|problem| {
@@ -111,7 +117,12 @@
         RunError::Listen { key, address, problem }
     })?;
     let (inbox, intake) = inbox::inbox(config.bounds.reports, book.clone());
-    let door = Door::new(&config, inbox.clone(), book.clone(), ops::router(book.clone()));
+    let recorder = match own.capture {
+        None => None,
+        Some(capture) => Some(recorder::start(capture, &config, clock.now(), book.clone())?),
+    };
+    let (tap, dumps) = recorder.map_or((None, None), |(tap, dumps)| (Some(tap), Some(dumps)));
+    let door = Door::new(&config, inbox.clone(), book.clone(), ops::router(book.clone(), dumps.clone()));
     let door = Arc::new(door);
     let discovery = discovery::Discovery::new(following, inbox.clone(), book.clone());
     let prober = probe::Prober::new(&config.bounds, inbox.clone(), book.clone());
@@ -147,6 +158,9 @@
         book: book.clone(),
         links: Default::default(),
         timers: Default::default(),
+        calls: 0,
+        tap,
+        dumps: dumps.clone(),
     };
     if let Some(known) = config.known {
         inbox.put(inbox::News::List(ListKind::Remembered, known));
@@ -162,7 +176,14 @@
     // Tasks of their own, so that one which fails is seen to end and takes the process with it: a director
     // that no longer decides must not go on holding its proxies.
     let ended = tokio::select! {
-        () = end => return Ok(()),
+        () = end => {
+            // The capture ends well if the disk lets it, inside the time that a planned restart leaves.
+            let well = dumps.as_ref().is_none_or(recorder::Dumps::end);
+            if !well {
+                tracing::warn!("capture: the disk did not take the end in time");
+            }
+            return Ok(());
+        }
         ended = tokio::spawn(engine.run(intake)) => ended,
         ended = tokio::spawn(discovery.run(asked)) => ended,
         ended = tokio::spawn(accept::serve(listener, door)) => ended,
@@ -172,11 +193,12 @@
     Err(RunError::Ended(ended.map_or_else(|error| error.to_string(), |()| "no reason told".into())))
 }
 
-/// The whole program: reads the configuration, sets up the log, serves.
-pub fn main() -> ExitCode {
-    let _log = log::start();
+/// The whole program: sets up the log, reads the configuration (of the file named here, or else by `GW_CONFIG`), serves.
+pub fn main(file: Option<std::path::PathBuf>, own: Own) -> ExitCode {
+    let _log = log::start(&own.log);
+    let read = |first| Config::from_env(file.as_deref(), first);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.map_err(RunError::Start).and_then(|runtime| runtime.block_on(run(Config::from_env))) {
+    match runtime.map_err(RunError::Start).and_then(|runtime| runtime.block_on(run(own, read))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             tracing::error!("{problem}");
--- a/crates/wingfold-node/src/log.rs
+++ b/crates/wingfold-node/src/log.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 use tracing::Level;
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use wingfold_settings::own::{Form, Log};
 
 /// Lines that may wait to be written: at a few hundred bytes each, a small part of the memory.
 const LINES: usize = 4096;
@@ -16,10 +17,15 @@
 
 /// Starts the log; it is written out when what this gives is dropped. Panics go the same way: written straight to
 /// standard error, one could wait for a reader for good.
-pub fn start() -> WorkerGuard {
+pub fn start(log: &Log) -> WorkerGuard {
     let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(LINES);
     let (writer, guard) = builder.finish(std::io::stderr());
-    tracing_subscriber::fmt().with_max_level(Level::INFO).with_ansi(false).with_writer(writer).init();
+    let level = log.level.parse().unwrap_or(Level::INFO);
+    let lines = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(writer);
+    match log.form {
+        Form::Text => lines.init(),
+        Form::Json => lines.json().flatten_event(true).init(),
+    }
     std::panic::set_hook(Box::new(|panic| tracing::error!("panicked: {}", plain(&panic.to_string()))));
     guard
 }
--- a/crates/wingfold-node/src/ops.rs
+++ b/crates/wingfold-node/src/ops.rs
@@ -2,10 +2,11 @@
 
 use crate::book::Book;
 use crate::door::Door;
+use crate::recorder::Dumps;
 use axum::extract::State;
-use axum::http::{header, StatusCode};
+use axum::http::{header, HeaderMap, StatusCode};
 use axum::response::IntoResponse;
-use axum::routing::get;
+use axum::routing::{get, post};
 use axum::Router;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -16,9 +17,26 @@
 /// A request's head holds a few lines; hyper needs so much at least.
 const HEAD_BYTES: usize = 8 << 10;
 
-/// The pages.
-pub fn router(book: Arc<Book>) -> Router {
-    Router::new().route("/healthz", get(health)).route("/metrics", get(metrics)).with_state(book)
+/// The pages; `dumps` only where a capture in memory may be asked for.
+pub fn router(book: Arc<Book>, dumps: Option<Dumps>) -> Router {
+    let pages = Router::new().route("/healthz", get(health)).route("/metrics", get(metrics)).with_state(book);
+    match dumps.filter(Dumps::asked) {
+        None => pages,
+        Some(dumps) => pages.merge(Router::new().route("/capture/dump", post(dump)).with_state(dumps)),
+    }
+}
+
+/// Has the capture in memory written out, for those who know the token. It is answered at once: the disk may be slow.
+async fn dump(State(dumps): State<Dumps>, headers: HeaderMap) -> (StatusCode, String) {
+    let token =
+        headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
+    match token.is_some_and(|token| dumps.admits(token)) {
+        false => (StatusCode::UNAUTHORIZED, "the token is missing or wrong\n".into()),
+        true => match dumps.write("asked for") {
+            Some(folder) => (StatusCode::ACCEPTED, format!("being written to {}\n", folder.display())),
+            None => (StatusCode::TOO_MANY_REQUESTS, "written out less than ten seconds ago\n".into()),
+        },
+    }
 }
 
 /// 200 once the decision module has answered for the first time.
--- /dev/null
+++ b/crates/wingfold-node/src/recorder.rs
@@ -0,0 +1,138 @@
+//! Starts the capture where it is switched on, and writes out what a capture in memory holds when somebody asks or an
+//! invariant fails. The engine only ever leaves something in a bounded queue.
+
+use crate::book::Book;
+use crate::config::Config;
+use crate::RunError;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use wingfold_archive::{Disk, Folder, Handle, Mailbox, Memory, Plan};
+use wingfold_capture::{Head, Limits, Tap};
+use wingfold_director::interface::Micros;
+use wingfold_settings::own::{Capture, Target};
+
+/// A planned restart leaves 0.7 s: the capture has less than half of it to end well.
+const END: Duration = Duration::from_millis(300);
+/// What is written out again within this time would be much the same.
+const APART: Duration = Duration::from_secs(10);
+/// How often the writer's own figures are read.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Writes out what a capture in memory holds.
+#[derive(Clone, Debug)]
+pub struct Dumps {
+    handle: Handle,
+    name: String,
+    folder: Option<PathBuf>,
+    token: Option<String>,
+    book: Arc<Book>,
+    last: Arc<Mutex<Option<Instant>>>,
+}
+
+/// Starts the writer.
+pub fn start(
+    capture: Capture,
+    config: &Config,
+    now: Micros,
+    book: Arc<Book>,
+) -> Result<(Tap<Mailbox>, Dumps), RunError> {
+    let head = Head {
+        build: build(),
+        name: config.name.clone(),
+        run: now,
+        segment: 0,
+        seed: config.seed,
+        settings: config.settings.clone(),
+        classes: config.names.classes.clone(),
+    };
+    let micros = |time: Duration| Micros(time.as_micros() as u64);
+    let limits = Limits {
+        segment_bytes: capture.segment_bytes,
+        segment_age: micros(capture.segment_age),
+        keep_segments: capture.keep,
+        keep_bytes: capture.keep_bytes,
+        flush: micros(capture.flush),
+        ..Limits::default()
+    };
+    let (disk, folder): (Box<dyn Disk>, _) = match &capture.target {
+        Target::Folder(root) => (Box::new(Folder::new(root, &config.name)), None),
+        Target::Memory(bytes) => (Box::new(Memory::new(*bytes)), capture.dump),
+    };
+    let plan = Plan { head, limits, queue: capture.queue };
+    let (mailbox, handle) = wingfold_archive::start(disk, plan, |line| tracing::warn!("{line}"))?;
+    tracing::info!(target = ?capture.target, queue = capture.queue, "capture: on");
+    let (name, last) = (config.name.clone(), Arc::default());
+    let dumps = Dumps { handle, name, folder, token: capture.token, book, last };
+    tokio::spawn(dumps.clone().book());
+    Ok((Tap::new(mailbox), dumps))
+}
+
+/// The build as captures name it: the version, and whether checks are in it.
+pub fn build() -> String {
+    let checks = if cfg!(debug_assertions) { " debug" } else { "" };
+    format!("wingfold {}{checks}", env!("CARGO_PKG_VERSION"))
+}
+
+impl Dumps {
+    /// Whether anybody may ask for it.
+    pub fn asked(&self) -> bool {
+        self.folder.is_some() && self.token.is_some()
+    }
+
+    /// Whether this is the token; told without telling how much of it was right.
+    pub fn admits(&self, token: &str) -> bool {
+        let Some(known) = &self.token else { return false };
+        let differs = known.bytes().zip(token.bytes()).fold(0, |differs, (a, b)| differs | (a ^ b));
+        known.len() == token.len() && differs == 0
+    }
+
+    /// An invariant has failed: what led to it is written out.
+    pub fn invariant(&self) {
+        self.write("an invariant failed");
+    }
+
+    /// Has the ring written out; gives the folder, or `None` where that is not set up or was done just now.
+    pub fn write(&self, why: &str) -> Option<PathBuf> {
+        let root = self.folder.as_ref()?;
+        {
+            let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+            if last.is_some_and(|last| last.elapsed() < APART) {
+                return None;
+            }
+            *last = Some(Instant::now());
+        }
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+        let folder = root.join(format!("{}-{unix}", wingfold_archive::folder::folder_name(&self.name)));
+        let answer = self.handle.dump(folder.clone());
+        let (book, to, why) = (self.book.clone(), folder.clone(), why.to_string());
+        // The writer answers in its own time; whoever asked does not wait for it.
+        tokio::task::spawn_blocking(move || match answer.recv() {
+            Ok(Ok(segments)) => {
+                book.capture_dumps_total.one();
+                tracing::info!(segments, to = %to.display(), why, "capture: written out");
+            }
+            Ok(Err(error)) => tracing::warn!(%error, to = %to.display(), why, "capture: not written out"),
+            Err(_) => tracing::warn!(why, "capture: its writer has ended"),
+        });
+        Some(folder)
+    }
+
+    /// Ends the capture; false if the disk did not let it in time.
+    pub fn end(&self) -> bool {
+        self.handle.end(END)
+    }
+
+    /// Books the writer's figures for good.
+    async fn book(self) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let told = &self.handle.told;
+            self.book.capture_bytes_total.set(told.written.load(Ordering::Relaxed));
+            self.book.capture_held_bytes.set(told.held.load(Ordering::Relaxed) as u64);
+            self.book.capture_waiting_bytes.set(told.waiting.load(Ordering::Relaxed) as u64);
+            self.book.capture_failures_total.set(told.failures.load(Ordering::Relaxed));
+        }
+    }
+}
--- a/crates/wingfold-settings/src/lib.rs
+++ b/crates/wingfold-settings/src/lib.rs
@@ -4,6 +4,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod hcl;
+pub mod own;
+
 use serde::Deserialize;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/wingfold-simhost/src/hosting.rs
+++ b/crates/wingfold-simhost/src/hosting.rs
@@ -1,8 +1,12 @@
-//! Reads batches, hands events to the instances concerned and writes their replies.
+//! Reads batches, hands events to the instances concerned and writes their replies. Where a folder is named, every call
+//! is captured there, each instance in a folder of its own.
 
 use crate::wire::{self, Fields, WireError};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
+use std::path::Path;
+use wingfold_archive::{direct, writer::Direct, Folder};
+use wingfold_capture::{Head, Limits, Queue, Tap};
 use wingfold_director::interface::{Action, Entry, Event, ListKind, Micros};
 use wingfold_director::Director;
 use wingfold_settings::Names;
@@ -12,6 +16,47 @@
     names: Names,
     director: Director,
     pending: Vec<Event>,
+    tap: Option<Tap<Direct<Folder>>>,
+}
+
+impl Instance {
+    fn new(
+        number: u64,
+        now: Micros,
+        seed: u64,
+        info: &wingfold_settings::Info,
+        captures: Option<&Path>,
+    ) -> Self {
+        let (names, settings) = (info.names(), info.settings());
+        let tap = captures.and_then(|root| {
+            let name = format!("instance-{number}");
+            let build = format!("wingfold {}", env!("CARGO_PKG_VERSION"));
+            let (settings, classes) = (settings.clone(), names.classes.clone());
+            let head = Head { build, name: name.clone(), run: now, segment: 0, seed, settings, classes };
+            let begun = direct(Folder::new(root, &name), head, Limits::default());
+            begun.map_err(|problem| eprintln!("wingfold-simhost: no capture: {problem}")).ok().map(Tap::new)
+        });
+        Instance { names, director: Director::new(settings, seed), pending: Vec::new(), tap }
+    }
+
+    fn answer(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        if let Some(tap) = &mut self.tap {
+            tap.before(now, &self.director);
+        }
+        self.director.handle(now, &self.pending, actions);
+        if let Some(tap) = &mut self.tap {
+            tap.after(now, &self.pending, actions, self.director.digest());
+        }
+        self.pending.clear();
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        if let Some(Err(problem)) = self.tap.as_mut().map(|tap| tap.queue().end()) {
+            eprintln!("wingfold-simhost: the capture has gaps: {problem}");
+        }
+    }
 }
 
 /// A list of which some entries are still to come.
@@ -30,7 +75,11 @@
 }
 
 /// Answers batches until the input ends.
-pub fn serve(mut input: impl BufRead, mut output: impl Write) -> Result<(), WireError> {
+pub fn serve(
+    mut input: impl BufRead,
+    mut output: impl Write,
+    captures: Option<&Path>,
+) -> Result<(), WireError> {
     let mut instances: BTreeMap<u64, Instance> = BTreeMap::new();
     let mut batch: Option<Batch> = None;
     let mut line = String::new();
@@ -63,7 +112,7 @@
             return Err(fields.unexpected("list entries must follow their `fleet`, all of them"));
         }
         if fields.message() != "flush" {
-            take(open, &mut fields, &mut instances)?;
+            take(open, &mut fields, &mut instances, captures)?;
             fields.end()?;
             continue;
         }
@@ -74,8 +123,7 @@
                 continue;
             }
             actions.clear();
-            instance.director.handle(open.clock, &instance.pending, &mut actions);
-            instance.pending.clear();
+            instance.answer(open.clock, &mut actions);
             actions.retain(|action| !matches!(action, Action::Forget(_)));
             if !actions.is_empty() {
                 reply.push_str(&format!("source\t{number}\n"));
@@ -94,6 +142,7 @@
     batch: &mut Batch,
     fields: &mut Fields,
     instances: &mut BTreeMap<u64, Instance>,
+    captures: Option<&Path>,
 ) -> Result<(), WireError> {
     if fields.message() == "batch" {
         return Err(fields.unexpected("the batch before it has not ended"));
@@ -107,8 +156,9 @@
     };
     if fields.message() == "launch" {
         let (seed, info) = wire::launch(fields)?;
-        let director = Director::new(info.settings(), seed);
-        instances.insert(number, Instance { names: info.names(), director, pending: Vec::new() });
+        // The old one ends its capture before the new one begins in the same folder.
+        instances.remove(&number);
+        instances.insert(number, Instance::new(number, batch.clock, seed, &info, captures));
         return Ok(());
     }
     if fields.message() == "destroy" {
--- a/crates/wingfold-simhost/src/main.rs
+++ b/crates/wingfold-simhost/src/main.rs
@@ -10,7 +10,9 @@
 fn main() -> ExitCode {
     let input = BufReader::with_capacity(1 << 16, io::stdin().lock());
     let output = BufWriter::with_capacity(1 << 16, io::stdout().lock());
-    match hosting::serve(input, output) {
+    // Not a setting of the director: a switch for whoever wants a simulated day to replay.
+    let captures = std::env::var_os("WINGFOLD_CAPTURE").map(std::path::PathBuf::from);
+    match hosting::serve(input, output, captures.as_deref()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("wingfold-simhost: {error}");
--- a/crates/wingfold-node/tests/common/standin.rs
+++ b/crates/wingfold-standins/src/lib.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for discovery, hosts and parties, this repository's own, and a small deployment's settings. They speak
 //! the protocol's published form and nothing more.
-#![allow(dead_code)] // Each user takes a part of this.
+#![forbid(unsafe_code)]
 
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
--- a/crates/wingfold-node/examples/standin.rs
+++ b/crates/wingfold/examples/standin.rs
@@ -1,12 +1,9 @@
 //! A small deployment to try the director against: discovery and three hosts on 127.0.0.1, and one proxy that joins
 //! and shows the orders it gets. `cargo run --example standin` tells how to start the director beside it.
 
-#[path = "../tests/common/standin.rs"]
-mod standin;
-
-use standin::{config, server, Discovery, Host, Party};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
+use wingfold_standins::{config, server, Discovery, Host, Party};
 
 fn main() -> std::io::Result<()> {
     let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
--- /dev/null
+++ b/crates/wingfold/src/lab.rs
@@ -0,0 +1,125 @@
+//! `wingfold lab`: scenarios in the emulator.
+
+use crate::cli::Outcome;
+use crate::say;
+use clap::Subcommand;
+use indicatif::{ProgressBar, ProgressStyle};
+use std::io::IsTerminal;
+use std::path::{Path, PathBuf};
+use wingfold_lab::experiment::Experiment;
+use wingfold_lab::{report, Scenario};
+
+/// What can be done in the emulator.
+#[derive(Debug, Subcommand)]
+pub enum Lab {
+    /// Play a scenario with several seeds; exit code 1 if a rule was broken
+    Run {
+        /// The scenario, HCL
+        scenario: PathBuf,
+        /// Seeds, such as 1..20 (both ends are played) or 7
+        #[arg(long, default_value = "1..5")]
+        seeds: String,
+        /// Where tables (Markdown, CSV) and a chart (SVG) go; else the tables are printed
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// Capture every director's calls into a folder below this one, by seed
+        #[arg(long)]
+        capture: Option<PathBuf>,
+        /// Print the module's log lines of each run
+        #[arg(long)]
+        log: bool,
+    },
+    /// Tell all that is wrong with scenarios
+    Check {
+        /// The scenarios, HCL
+        scenarios: Vec<PathBuf>,
+    },
+}
+
+fn read(path: &Path) -> Result<Scenario, String> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|problem| format!("{name}: {problem}"))?;
+    Scenario::read(&name, &text).map_err(|faults| faults.to_string())
+}
+
+fn seeds(text: &str) -> Result<std::ops::RangeInclusive<u64>, String> {
+    let wrong = || format!("`{text}` is no range of seeds: 1..20 or 7 is expected");
+    let (first, last) = text.split_once("..").unwrap_or((text, text));
+    let number = |text: &str| text.trim_start_matches('=').parse::<u64>().map_err(|_| wrong());
+    let (first, last) = (number(first)?, number(last)?);
+    if first > last {
+        Err(wrong())
+    } else {
+        Ok(first..=last)
+    }
+}
+
+impl Lab {
+    /// Does it.
+    pub fn run(self) -> Outcome {
+        self.done().unwrap_or_else(|problem| {
+            eprintln!("{problem}");
+            Outcome::Unusable
+        })
+    }
+
+    fn done(self) -> Result<Outcome, String> {
+        let (scenario, range, out, capture, log) = match self {
+            Lab::Run { scenario, seeds, out, capture, log } => (scenario, seeds, out, capture, log),
+            Lab::Check { scenarios } => {
+                let faults: Vec<String> = scenarios.iter().filter_map(|path| read(path).err()).collect();
+                faults.iter().for_each(|fault| eprintln!("{fault}"));
+                return Ok(if faults.is_empty() { Outcome::Good } else { Outcome::Unusable });
+            }
+        };
+        let (plan, range) = (read(&scenario)?, seeds(&range)?);
+        let bar = match std::io::stderr().is_terminal() {
+            false => ProgressBar::hidden(),
+            true => {
+                let style = ProgressStyle::with_template("{bar:40} seed {pos}/{len} {eta}");
+                let style = style.unwrap_or_else(|_| ProgressStyle::default_bar());
+                ProgressBar::new(range.end() - range.start() + 1).with_style(style)
+            }
+        };
+        let each = |seed: u64, played: &wingfold_lab::Played| {
+            bar.inc(1);
+            for (at, director, text) in played.log.iter().filter(|_| log) {
+                println!("seed {seed} director {director} {}: {text}", say::time(*at));
+            }
+        };
+        let experiment = Experiment::run(plan, range, capture.as_deref(), each);
+        let experiment = experiment.map_err(|problem| problem.to_string())?;
+        bar.finish_and_clear();
+        match &out {
+            None => print!("{}", report::markdown(&experiment)),
+            Some(folder) => {
+                report::write(&experiment, folder)
+                    .map_err(|problem| format!("{}: {problem}", folder.display()))?;
+                let service = experiment.mean(|played| played.service());
+                println!(
+                    "service {:.4} ± {:.4}; tables and chart in {}",
+                    service.mean,
+                    service.off,
+                    folder.display()
+                );
+            }
+        }
+        let broken = experiment.broken();
+        for (seed, what) in &broken {
+            eprintln!("seed {seed} broke: {}", what.join("; "));
+        }
+        Ok(if broken.is_empty() { Outcome::Good } else { Outcome::Different })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn seeds_are_read_with_both_ends() {
+        assert_eq!(seeds("1..20").unwrap(), 1..=20);
+        assert_eq!(seeds("7").unwrap(), 7..=7);
+        assert!(seeds("9..3").is_err() && seeds("x").is_err() && seeds("").is_err());
+    }
+}
--- /dev/null
+++ b/crates/wingfold/src/say.rs
@@ -0,0 +1,164 @@
+//! Times, events and orders in words.
+
+use std::fmt::Write;
+use wingfold_capture::Head;
+use wingfold_director::interface::{Action, ClassMask, Event, Load, Micros, Readiness, Sums};
+
+const DAY: u64 = 86_400_000_000;
+
+/// A time as people write it: the day only where the clock is the world's (a captured emulator's day begins at 0).
+pub fn time(at: Micros) -> String {
+    if at.0 < 10_000 * DAY {
+        return format!("{:.3}s", at.secs());
+    }
+    let unix = std::time::UNIX_EPOCH + std::time::Duration::from_micros(at.0);
+    humantime::format_rfc3339_millis(unix).to_string()
+}
+
+/// Reads a time: `2026-11-30T03:12:05Z`, `03:12:05` on the day of the capture's start (UTC; the next day if that has
+/// passed by then), `+90s` after the start, or seconds of the capture's own clock.
+pub fn parse_time(text: &str, start: Micros) -> Result<Micros, String> {
+    let wrong = || {
+        format!("`{text}` is no time: 2026-11-30T03:12:05Z, 03:12:05, +90s after the start, or seconds are expected")
+    };
+    if let Some(after) = text.strip_prefix('+') {
+        let after = humantime::parse_duration(after).map_err(|_| wrong())?;
+        return Ok(Micros(start.0 + after.as_micros() as u64));
+    }
+    if let Ok(secs) = text.trim_end_matches('s').parse::<f64>() {
+        return if secs >= 0.0 { Ok(Micros::from_secs(secs)) } else { Err(wrong()) };
+    }
+    if let Ok(time) = humantime::parse_rfc3339_weak(text) {
+        let unix = time.duration_since(std::time::UNIX_EPOCH).map_err(|_| wrong())?;
+        return Ok(Micros(unix.as_micros() as u64));
+    }
+    let parts: Vec<f64> = text.split(':').map(str::parse).collect::<Result<_, _>>().map_err(|_| wrong())?;
+    let [hours, minutes, secs] = match parts[..] {
+        [hours, minutes] => [hours, minutes, 0.0],
+        [hours, minutes, secs] => [hours, minutes, secs],
+        _ => return Err(wrong()),
+    };
+    if !((0.0..24.0).contains(&hours) && (0.0..60.0).contains(&minutes) && (0.0..61.0).contains(&secs)) {
+        return Err(wrong());
+    }
+    let of_day = Micros::from_secs(hours * 3600.0 + minutes * 60.0 + secs).0;
+    let at = start.0 - start.0 % DAY + of_day;
+    // A capture that begins at 23:50 has its 03:12 on the next day.
+    Ok(Micros(if at + DAY / 2 < start.0 { at + DAY } else { at }))
+}
+
+/// The classes of a mask by their names.
+pub fn classes(head: &Head, mask: ClassMask) -> String {
+    let all = head.classes.len().max(head.settings.classes.len());
+    let named = (0..all.min(64)).filter(|at| mask.0 >> at & 1 == 1).map(|at| class(head, at));
+    let named: Vec<String> = named.collect();
+    if mask.0 == 0 || named.len() == all {
+        "all classes".into()
+    } else {
+        named.join("+")
+    }
+}
+
+/// A class by its name.
+pub fn class(head: &Head, at: usize) -> String {
+    head.classes.get(at).cloned().unwrap_or_else(|| format!("class {at}"))
+}
+
+fn sums(sums: &Sums) -> String {
+    format!("{} tries, {} lost, over {:.1} s", sums.total, sums.lost, sums.over.secs())
+}
+
+fn load(load: &Load) -> String {
+    let told =
+        [("in hand", load.in_hand), ("waiting", load.waiting), ("busy", load.busy), ("ms", load.service_ms)];
+    let told = told.iter().filter_map(|(name, value)| value.map(|value| format!(", {name} {value:.2}")));
+    told.collect()
+}
+
+/// One event in a line or, for a list, a few.
+pub fn event(head: &Head, event: &Event) -> String {
+    match event {
+        Event::List(kind, entries) => {
+            let mut text = format!("list {kind:?} with {} entries", entries.len());
+            for entry in entries.iter().take(40) {
+                let state = match entry.readiness {
+                    Readiness::Ready => "ready",
+                    Readiness::Draining => "draining",
+                    Readiness::Gone => "gone",
+                };
+                let _ =
+                    write!(text, "; {} in {} {state} weight {}", entry.host.0, entry.zone.0, entry.weight);
+            }
+            if entries.len() > 40 {
+                let _ = write!(text, "; and {} more", entries.len() - 40);
+            }
+            text
+        }
+        Event::ListFailed => "a call for the list failed".into(),
+        Event::ListMoved => "the list has another address".into(),
+        Event::Timer(token) => format!("timer {token}"),
+        Event::Probed(host, outcome, told) => format!("probe of {}: {outcome:?}{}", host.0, load(told)),
+        Event::Peer(from, word) => format!("word of director {from}, {} bytes", word.len()),
+        Event::Joined(proxy, zone, rate) => {
+            format!("proxy {} of {} joined, {rate:.1} requests/s", proxy.0, zone.0)
+        }
+        Event::Left(proxy) => format!("proxy {} left", proxy.0),
+        Event::Heard(zone, host, told, mean, report) => {
+            let mean = mean.secs() * 1e3;
+            format!("{} heard of {}: {}, {mean:.0} ms{}", zone.0, host.0, sums(told), load(report))
+        }
+        Event::Usage(proxy, at, told) => {
+            format!("proxy {} of {}: {}", proxy.0, class(head, at.0), sums(told))
+        }
+        Event::Applied(proxy, mark, took) => {
+            format!("proxy {} applied mark {mark} after {:.0} ms", proxy.0, took.secs() * 1e3)
+        }
+        Event::Slice => "something about slices".into(),
+    }
+}
+
+/// One order in a line.
+pub fn action(head: &Head, action: &Action) -> String {
+    match action {
+        Action::Watch(on) => format!("watch the list: {on}"),
+        Action::FetchList => "ask for the list".into(),
+        Action::Timer(at, token) => format!("timer {token} at {}", time(*at)),
+        Action::Probe(host) => format!("probe {}", host.0),
+        Action::Tell(to, word) => format!("tell {to:?} {} bytes", word.len()),
+        Action::SetLine(table, host, weight) => format!("table {}: {} at {weight}", table.0, host.0),
+        Action::ClearTable(table) => format!("table {}: all lines out", table.0),
+        Action::Bind(proxy, table, mask) => {
+            format!("proxy {} goes by table {} for {}", proxy.0, table.0, classes(head, *mask))
+        }
+        Action::Withdraw(host, true) => format!("{} out of all tables", host.0),
+        Action::Withdraw(host, false) => format!("{} back in all tables", host.0),
+        Action::Admit(table, mask, level, retry) => {
+            let table = table.map_or("all tables".into(), |table| format!("table {}", table.0));
+            format!("{table}: {} at level {level}, {retry:?}", classes(head, *mask))
+        }
+        Action::Mark(all, mark) => format!("mark {mark}, of everyone: {all}"),
+        Action::Forget(host) => format!("forget {}", host.0),
+        Action::Log(text) => format!("log: {text}"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn times_are_read_as_operators_write_them() {
+        // 2026-11-30T23:50:00Z.
+        let start = Micros(1_796_082_600_000_000);
+        let read = |text: &str| parse_time(text, start).map(time);
+        assert_eq!(time(start), "2026-11-30T23:50:00.000Z");
+        assert_eq!(read("23:55").unwrap(), "2026-11-30T23:55:00.000Z");
+        assert_eq!(read("03:12:05.5").unwrap(), "2026-12-01T03:12:05.500Z", "after midnight");
+        assert_eq!(read("+90s").unwrap(), "2026-11-30T23:51:30.000Z");
+        assert_eq!(read("2026-12-01T03:12:00Z").unwrap(), "2026-12-01T03:12:00.000Z");
+        assert_eq!(parse_time("12.5", Micros(0)).unwrap(), Micros(12_500_000));
+        for wrong in ["", "soon", "25:00", "03:61", "-4", "+soon", "1:2:3:4"] {
+            assert!(read(wrong).is_err(), "{wrong}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingfold/src/why.rs
@@ -0,0 +1,301 @@
+//! `wingfold why`: why the tables held what they held, in words.
+
+use crate::cli::Outcome;
+use crate::replay::{bar, span};
+use crate::say;
+use clap::Args;
+use std::path::PathBuf;
+use std::time::Duration;
+use wingfold_archive::{Archive, Source};
+use wingfold_capture::replay::{Mode, Replayer};
+use wingfold_capture::why::{Answer, HostWhy, Move, Onlooker, Question};
+use wingfold_capture::{entries, Head};
+use wingfold_director::inspect::Standing;
+use wingfold_director::interface::{HostId, Micros, ProxyId, Readiness, ZoneId};
+
+/// Why did the tables hold what they held? Without `--host`, a line for each host; with it, its whole story.
+#[derive(Args, Debug)]
+pub struct Why {
+    /// A segment, or a folder of them
+    path: PathBuf,
+    /// At this time: 2026-11-30T03:12:05Z, 03:12:05, +90s after the start, or seconds; else at the end
+    #[arg(long)]
+    at: Option<String>,
+    /// Only what proxies of this zone go by
+    #[arg(long)]
+    zone: Option<String>,
+    /// Only this host
+    #[arg(long)]
+    host: Option<String>,
+    /// Only the tables of this proxy
+    #[arg(long)]
+    proxy: Option<u32>,
+    /// Only the level of this class, and hosts it may go to
+    #[arg(long)]
+    class: Option<String>,
+    /// What moved hosts is told from so long before
+    #[arg(long, default_value = "30s")]
+    back: String,
+    /// The answer as one JSON object
+    #[arg(long)]
+    json: bool,
+}
+
+impl Why {
+    /// Answers.
+    pub fn run(self) -> Outcome {
+        match self.answer() {
+            Ok(()) => Outcome::Good,
+            Err(problem) => {
+                eprintln!("{problem}");
+                Outcome::Unusable
+            }
+        }
+    }
+
+    fn answer(&self) -> Result<(), String> {
+        let archive = Archive::open(&self.path).map_err(|problem| problem.to_string())?;
+        let end = archive.span().map_or(Micros(0), |span| span.1);
+        let (_, at) = span(&archive, None, self.at.as_deref())?;
+        let at = at.min(end);
+        let back: Duration =
+            humantime::parse_duration(&self.back).map_err(|_| format!("`{}` is no time", self.back))?;
+        let back = Micros(back.as_micros() as u64);
+        let question = Question {
+            at,
+            back,
+            zone: self.zone.as_deref().map(|zone| ZoneId(zone.into())),
+            host: self.host.as_deref().map(|host| HostId(host.into())),
+            proxy: self.proxy.map(ProxyId),
+        };
+        let (mut replayer, mut onlooker) =
+            (Replayer::new(Mode::Strict).within(Micros(0), at), Onlooker::new(question));
+        // From the segment that holds the beginning of the span on: each starts from a state of its own.
+        let begins = Micros(at.0.saturating_sub(back.0));
+        let mut sources: Vec<&Source> = archive.within(begins, at).collect();
+        if sources.is_empty() {
+            sources.extend(archive.sources.iter().rfind(|source| source.meta.first.1 <= at));
+        }
+        let bar = bar(sources.iter().map(|source| source.meta.bytes).sum());
+        for source in &sources {
+            let bytes = source.read().map_err(|problem| format!("{}: {problem}", source.path.display()))?;
+            for entry in entries(&bytes) {
+                let fed = replayer
+                    .feed(entry)
+                    .map_err(|problem| format!("{}: {problem}", source.path.display()))?;
+                let fed = fed.map(|(call, actions)| (call, actions.to_vec()));
+                if let (Some((call, actions)), Some(director)) = (fed, replayer.director()) {
+                    onlooker.look(&call, &actions, director);
+                }
+                if replayer.done() {
+                    break;
+                }
+            }
+            bar.inc(source.meta.bytes);
+        }
+        bar.finish_and_clear();
+        let head = replayer.head().clone();
+        let class = match &self.class {
+            None => None,
+            Some(name) => {
+                Some((0..head.settings.classes.len()).find(|at| say::class(&head, *at) == *name).ok_or_else(
+                    || {
+                        let known: Vec<String> =
+                            (0..head.settings.classes.len()).map(|at| say::class(&head, at)).collect();
+                        format!("there is no class `{name}`; here are {}", known.join(", "))
+                    },
+                )?)
+            }
+        };
+        let Some(director) = replayer.director() else {
+            return Err(format!(
+                "{}: nothing could be replayed up to {}",
+                self.path.display(),
+                say::time(at)
+            ));
+        };
+        let answer = onlooker.answer(&replayer, director);
+        self.known(&answer)?;
+        if replayer.report.differences > 0 {
+            eprintln!("note: this build answers {} calls otherwise than they were answered; what follows is this build's view", replayer.report.differences);
+        }
+        if self.json {
+            let text = serde_json::to_string_pretty(&answer).map_err(|problem| problem.to_string())?;
+            println!("{text}");
+        } else {
+            tell(&head, &answer, self.host.is_some(), class);
+        }
+        Ok(())
+    }
+
+    /// A name that nobody knows is a mistake to be told, not an empty answer.
+    fn known(&self, answer: &Answer) -> Result<(), String> {
+        if !answer.hosts.is_empty() {
+            return Ok(());
+        }
+        Err(match (&self.host, &self.zone, self.proxy) {
+            (Some(host), ..) => {
+                format!("no host `{host}` was known at {} (or no such zone)", say::time(answer.at))
+            }
+            (_, Some(zone), _) => format!("no zone `{zone}` was known at {}", say::time(answer.at)),
+            (_, _, Some(proxy)) => {
+                format!("proxy {proxy} was not joined to this director at {}", say::time(answer.at))
+            }
+            _ => format!("no host was known at {}", say::time(answer.at)),
+        })
+    }
+}
+
+fn tell(head: &Head, answer: &Answer, whole: bool, class: Option<usize>) {
+    let fleet = &answer.fleet;
+    println!(
+        "{} at call {}, {}: {} hosts, {} proxies joined, {:.0} % of the work let in, median loss {:.1} %, median answer {}, \
+         load {:.2}, {:.0} lines in the channel",
+        answer.name,
+        answer.call,
+        say::time(answer.at),
+        fleet.hosts,
+        fleet.proxies,
+        100.0 * fleet.admitted,
+        100.0 * fleet.loss,
+        fleet.latency_ms.map_or("not known".into(), |ms| format!("{ms:.0} ms")),
+        fleet.load,
+        fleet.queued
+    );
+    for zone in &answer.zones {
+        let levels = zone.levels.iter().enumerate().filter(|(at, _)| class.is_none_or(|class| class == *at));
+        let levels: Vec<String> =
+            levels.map(|(at, level)| format!("{} {level}", say::class(head, at))).collect();
+        println!(
+            "\nzone {}: {} proxies, usual loss {:.1} %, the leading group is measured by {}; levels: {}",
+            zone.zone.0,
+            zone.proxies,
+            100.0 * zone.usual_loss,
+            zone.lead.map_or("no score yet".into(), |lead| format!("score {lead:.0}")),
+            levels.join(", ")
+        );
+        let may = |host: &&HostWhy| {
+            let class = class.and_then(|at| head.settings.classes.get(at));
+            class.is_none_or(|class| {
+                let view = &host.view;
+                (!class.own_zone || view.home == view.zone)
+                    && (class.zones.is_empty() || class.zones.contains(&view.home))
+                    && (class.kinds.is_empty() || class.kinds.contains(&view.kind))
+            })
+        };
+        for host in answer.hosts.iter().filter(|host| host.view.zone == zone.zone).filter(may) {
+            match whole {
+                true => story(head, host),
+                false => println!("  {:<24} {}", host.view.host.0, line(host)),
+            }
+        }
+    }
+}
+
+/// How a zone treats a host, in words.
+fn standing(standing: Standing) -> String {
+    match standing {
+        Standing::Leading => "in the leading group".into(),
+        Standing::Halved(step) => format!("a laggard at 1/{} of its weight", 1u32 << step.min(31)),
+        Standing::Out(until) => format!("out until {} at least", say::time(until)),
+        Standing::Trial(until) => format!("on trial at an eighth, until it answers or {}", say::time(until)),
+        Standing::Leaving => "leaving: it drains or is gone".into(),
+    }
+}
+
+fn share(host: &HostWhy) -> String {
+    let held: Vec<f64> = host.shares.iter().map(|(_, share)| *share).collect();
+    let least = held.iter().copied().fold(f64::INFINITY, f64::min);
+    let most = held.iter().copied().fold(0.0, f64::max);
+    match most {
+        0.0 => "in no table".into(),
+        _ if most - least < 0.001 => format!("{:.1} % of each table", 100.0 * most),
+        _ => format!("{:.1} to {:.1} % of {} tables", 100.0 * least, 100.0 * most, held.len()),
+    }
+}
+
+fn line(host: &HostWhy) -> String {
+    let view = &host.view;
+    let score = view.score.map_or("no score".into(), |score| format!("score {score:.0}"));
+    let cold =
+        if view.cold { format!(", cold: at most {:.0} %", 100.0 * view.warmth) } else { String::new() };
+    format!("{}; {score}, {}{cold}", share(host), standing(view.standing))
+}
+
+fn story(head: &Head, host: &HostWhy) {
+    let view = &host.view;
+    println!("  {} of {} ({}), as zone {} sees it:", view.host.0, view.home.0, view.kind, view.zone.0);
+    println!("    now: {}, {}", standing(view.standing), share(host));
+    if view.readiness != Readiness::Ready {
+        println!(
+            "    the list says it is {}",
+            if view.readiness == Readiness::Gone { "gone" } else { "draining" }
+        );
+    }
+    if view.doubted {
+        println!("    the list calls it gone, which is advice here: it stays until its answers fail");
+    }
+    let known = |value: Option<f64>| value.map_or("not known".into(), |value| format!("{value:.0}"));
+    println!(
+        "    score {} = {} ms latency + 100 ms for each of {:.1} % loss; the leading group is measured by {}",
+        known(view.score),
+        known(view.latency_ms),
+        100.0 * view.loss,
+        known(view.lead)
+    );
+    println!(
+        "    {:.0} tries of this zone lost in a row, {:.0} of all zones useless in a row, {:.1} tries missed since it was last \
+         heard of, {} rounds speak for its next step",
+        view.lost_in_row, view.useless_in_row, view.missed, view.confirmed
+    );
+    if let Some((busy, at)) = view.busy {
+        println!("    its cores were {:.0} % busy, told at {}", 100.0 * busy, say::time(at));
+    }
+    let mut parts = vec![format!("listed {}", view.listed)];
+    if view.near < 1.0 {
+        parts.push(format!("x {:.3} for its distance", view.near));
+    }
+    match view.standing {
+        Standing::Halved(step) => parts.push(format!("x 1/{} as a laggard", 1u32 << step.min(31))),
+        Standing::Trial(_) => parts.push("x 1/8 on trial".into()),
+        Standing::Out(_) | Standing::Leaving => parts.push("x 0".into()),
+        Standing::Leading => {}
+    }
+    if view.cold {
+        let started = view.started.map_or(String::new(), |at| format!(", started {}", say::time(at)));
+        parts.push(format!(
+            "at most {:.0} % while cold{started}, and what a cold host is spared",
+            100.0 * view.warmth
+        ));
+    }
+    println!("    weight: {}", parts.join(" "));
+    for (table, weight) in &view.weights {
+        let share = host.shares.iter().find(|(of, _)| of == table).map_or(0.0, |(_, share)| *share);
+        println!("      table {}: {weight} ({:.2} % of it)", table.0, 100.0 * share);
+    }
+    match host.moves.is_empty() {
+        true => println!("    nothing moved it in the time looked at"),
+        false => println!("    what moved it:"),
+    }
+    host.moves.iter().for_each(|one| tell_move(head, one));
+}
+
+fn tell_move(head: &Head, one: &Move) {
+    let turned = one.standing.map(|(was, is)| match was {
+        Some(was) => format!("from {} to {}", standing(was), standing(is)),
+        None => standing(is),
+    });
+    println!(
+        "    {} (call {}): {}{:.1} % -> {:.1} % of the zone's tables",
+        say::time(one.at),
+        one.call,
+        turned.map_or(String::new(), |turned| format!("{turned}; ")),
+        100.0 * one.share.0,
+        100.0 * one.share.1
+    );
+    one.noted.iter().for_each(|text| println!("        it noted: {text}"));
+    let skip = one.heard.len().saturating_sub(6);
+    for (at, event) in one.heard.iter().skip(skip) {
+        println!("        {}: {}", say::time(*at), say::event(head, event));
+    }
+}
--- a/crates/wingfold-node/tests/common/mod.rs
+++ b/crates/wingfold/tests/common/mod.rs
@@ -2,9 +2,7 @@
 //! it as proxies, collectors and strangers do.
 #![allow(dead_code)] // Each test file uses a part of this.
 
-mod standin;
-
-pub use standin::*;
+pub use wingfold_standins::*;
 
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
