--- /dev/null
+++ b/crates/wingfold-archive/benches/cost.rs
@@ -0,0 +1,298 @@
+//! What a capture costs the engine: the same days without one, with one on a healthy disk, and with a disk that stands
+//! still, in turn, for several seeds. `cargo bench -p wingfold-archive --bench cost [-- CALLS]`.
+
+use hdrhistogram::Histogram;
+use std::io;
+use std::time::{Duration, Instant};
+use wingfold_archive::{Disk, Folder, Mailbox, Plan};
+use wingfold_capture::model::SegmentMeta;
+use wingfold_capture::replay::{Mode, Replayer};
+use wingfold_capture::scribe::Do;
+use wingfold_capture::{entries, Head, Limits, Tap};
+use wingfold_director::interface::*;
+use wingfold_director::Director;
+
+const QUEUE: usize = 8 << 20;
+
+struct Size {
+    proxies: u32,
+    hosts: u32,
+    zones: usize,
+    conn_idle: u64,
+}
+
+/// A disk that never comes back from its first work.
+struct Frozen;
+
+impl Disk for Frozen {
+    fn open(&mut self) -> io::Result<Vec<SegmentMeta>> {
+        Ok(Vec::new())
+    }
+    fn carry_out(&mut self, _: &Do) -> io::Result<()> {
+        loop {
+            std::thread::park();
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum How {
+    Off,
+    On,
+    Frozen,
+}
+
+fn settings(size: &Size) -> Settings {
+    let class = |aim: u64, effect| Class {
+        aim: Micros(aim),
+        deadline: Micros(3 * aim),
+        worth: 1.0,
+        effect,
+        own_zone: false,
+        zones: Vec::new(),
+        kinds: Vec::new(),
+    };
+    Settings {
+        directors: 1,
+        zones: (0..size.zones).map(|zone| ZoneId(format!("hall-{zone}").into())).collect(),
+        classes: vec![
+            class(1_000_000, Effect::Idempotent),
+            class(600_000, Effect::Deduplicated),
+            class(800_000, Effect::AtMostOnce),
+        ],
+        proxies: size.proxies,
+        lines_per_s: 20_000.0,
+        message_overhead: 4.0,
+        queue_max: 40_000.0,
+        push_delay: Micros(250_000),
+        push_delay_max: Micros(700_000),
+        bare: Micros(3_000_000),
+        report_period: Micros(1_000_000),
+        reports_per_s: 10_000.0,
+        ejects: 3,
+        cross_zone_price: 0.06,
+        start_capacity: 0.2,
+        cold: Micros(14_000_000),
+        drain_grace: Micros(3_400_000),
+        overload_factor: 4.0,
+        overload_for: Micros(3_000_000),
+        ask_within: Micros(10_000_000),
+        conn_idle: Micros(size.conn_idle),
+        ..Settings::default()
+    }
+}
+
+/// The events of a day: sums of each zone for each host and usage of each proxy once a second, in four calls.
+struct Day {
+    size: Size,
+    state: u64,
+    call: u64,
+}
+
+impl Day {
+    fn random(&mut self) -> f64 {
+        self.state = self.state.wrapping_mul(0x5851_F42D_4C95_7F2D).wrapping_add(1);
+        (self.state >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn next(&mut self) -> (Micros, Vec<Event>) {
+        let zone = |at: usize| ZoneId(format!("hall-{at}").into());
+        let host = |at: u32| HostId(format!("10.0.{}.{}:8443", at / 250, at % 250).into());
+        let now = Micros(1_000_000 + self.call * 250_000);
+        let call = self.call;
+        self.call += 1;
+        let mut events = vec![Event::Timer(0)];
+        if call == 0 {
+            let entry = |at: u32| Entry {
+                host: host(at),
+                kind: "box".into(),
+                zone: zone(at as usize % self.size.zones),
+                readiness: Readiness::Ready,
+                weight: 1.0,
+                started: None,
+            };
+            events.push(Event::List(ListKind::Remembered, (0..self.size.hosts).map(entry).collect()));
+            let zones = self.size.zones;
+            events.extend(
+                (0..self.size.proxies).map(|at| Event::Joined(ProxyId(at), zone(at as usize % zones), 4.0)),
+            );
+            return (now, events);
+        }
+        let over = Micros(1_000_000);
+        for at in (0..self.size.hosts).filter(|at| u64::from(at % 4) == call % 4) {
+            for from in 0..self.size.zones {
+                let slow = if (u64::from(at) * 7 + call / 60).is_multiple_of(29) { 6.0 } else { 1.0 };
+                let mean = Micros(((0.08 + 0.06 * self.random()) * slow * 1e6) as u64);
+                let total = 1 + (self.random() * 8.0) as u64;
+                let lost = u64::from(self.random() < 0.02);
+                let load = Load { busy: Some(0.4 + 0.3 * self.random()), ..Load::default() };
+                events.push(Event::Heard(zone(from), host(at), Sums { total, lost, over }, mean, load));
+            }
+        }
+        for at in (0..self.size.proxies).filter(|at| u64::from(at % 4) == call % 4) {
+            let total = 1 + (self.random() * 6.0) as u64;
+            events.push(Event::Usage(ProxyId(at), ClassId(at as usize % 3), Sums { total, lost: 0, over }));
+        }
+        // A host drains or starts now and then.
+        if call % 40 == 20 {
+            let at = (self.random() * f64::from(self.size.hosts)) as u32;
+            let readiness = if call % 80 == 20 { Readiness::Draining } else { Readiness::Ready };
+            let started = (readiness == Readiness::Ready).then_some(now);
+            let zone = zone(at as usize % self.size.zones);
+            let entry = Entry { host: host(at), kind: "box".into(), zone, readiness, weight: 1.0, started };
+            events.push(Event::List(ListKind::Changes, vec![entry]));
+        }
+        (now, events)
+    }
+}
+
+struct Cost {
+    calls: Histogram<u64>,
+    mean_us: f64,
+    /// The tap's own part of the time of a call.
+    tapped: f64,
+    cpu_s: f64,
+    events: u64,
+    bytes: u64,
+    checkpoint: (usize, Duration),
+    replay: f64,
+}
+
+/// CPU time of the whole process, its writer's thread included, in seconds.
+fn cpu() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
+    (ticks(11) + ticks(12)) / 100.0
+}
+
+fn run(size: Size, seed: u64, calls: u64, how: How) -> Cost {
+    let set = settings(&size);
+    let folder = std::env::temp_dir().join(format!("wingfold-cost-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let head = Head { settings: set.clone(), seed, name: "n".into(), ..Head::default() };
+    let plan = Plan { head, limits: Limits::default(), queue: QUEUE };
+    let disk: Option<Box<dyn Disk>> = match how {
+        How::Off => None,
+        How::On => Some(Box::new(Folder::new(&folder, "n"))),
+        How::Frozen => Some(Box::new(Frozen)),
+    };
+    let started = disk.map(|disk| wingfold_archive::start(disk, plan, |_| ()).expect("a thread starts"));
+    let (mut tap, handle): (Option<Tap<Mailbox>>, _) = match started {
+        None => (None, None),
+        Some((mailbox, handle)) => (Some(Tap::new(mailbox)), Some(handle)),
+    };
+    let mut day = Day { size, state: seed, call: 0 };
+    let mut director = Director::new(set, seed);
+    let mut histogram = Histogram::new_with_bounds(1, 60_000_000_000, 3).expect("these bounds are sound");
+    let (mut actions, mut total, mut tapped, mut events) = (Vec::new(), Duration::ZERO, Duration::ZERO, 0);
+    let mut checkpoint = (0, Duration::ZERO);
+    let before = cpu();
+    for number in 0..calls {
+        let (now, told) = day.next();
+        events += told.len() as u64;
+        actions.clear();
+        let begun = Instant::now();
+        if let Some(tap) = &mut tap {
+            tap.before(now, &director);
+        }
+        let module = Instant::now();
+        director.handle(now, &told, &mut actions);
+        let module = module.elapsed();
+        if let Some(tap) = &mut tap {
+            tap.after(now, &told, &actions, director.digest());
+        }
+        let took = begun.elapsed();
+        // The first call lays every table: it is no usual one.
+        if number > 0 {
+            histogram.saturating_record(took.as_nanos() as u64);
+            total += took;
+            tapped += took - module;
+        }
+        if number == calls / 2 && how == How::Off {
+            let begun = Instant::now();
+            checkpoint.0 = director.checkpoint().len();
+            checkpoint.1 = begun.elapsed();
+        }
+    }
+    let cpu_s = cpu() - before;
+    let (mut bytes, mut replay) = (0, 0.0);
+    if let Some(handle) = handle.filter(|_| how == How::On) {
+        handle.end(Duration::from_secs(60));
+        let mut replayer = Replayer::new(Mode::Strict);
+        let begun = Instant::now();
+        for path in wingfold_archive::folder::files(&folder.join("n")).expect("it was written").into_values()
+        {
+            let segment = wingfold_archive::folder::read(&path).expect("it was written");
+            bytes += segment.len() as u64;
+            entries(&segment).for_each(|entry| drop(replayer.feed(entry).expect("it replays")));
+        }
+        assert!(replayer.first.is_none() && replayer.report.calls == calls, "{:?}", replayer.report);
+        replay = replayer.report.secs / begun.elapsed().as_secs_f64();
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+    let mean_us = total.as_secs_f64() * 1e6 / (calls - 1) as f64;
+    let tapped = tapped.as_secs_f64() / total.as_secs_f64();
+    Cost { calls: histogram, mean_us, tapped, cpu_s, events, bytes, checkpoint, replay }
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+fn main() {
+    let asked = std::env::args().filter_map(|argument| argument.parse::<u64>().ok()).next();
+    for (proxies, hosts, zones, conn_idle, calls, seeds) in
+        [(60, 30, 3, 0, 4000, 21), (635, 511, 4, 4_000_000, 160, 5)]
+    {
+        let calls = asked.unwrap_or(calls);
+        println!("{proxies} proxies x {hosts} hosts, {calls} calls a run, seeds 1 to {seeds}");
+        let mut rows: Vec<[Cost; 3]> = Vec::new();
+        for seed in 1..=seeds {
+            let one = |how| run(Size { proxies, hosts, zones, conn_idle }, seed, calls, how);
+            // Not always in the same order: a machine that grows slower must not look like a cost.
+            let row = match seed % 2 {
+                0u64 => {
+                    let off = one(How::Off);
+                    [off, one(How::On), one(How::Frozen)]
+                }
+                _ => {
+                    let (frozen, on) = (one(How::Frozen), one(How::On));
+                    [one(How::Off), on, frozen]
+                }
+            };
+            rows.push(row);
+        }
+        for (at, name) in ["off", "on", "frozen disk"].iter().enumerate() {
+            let of = |value: &dyn Fn(&Cost) -> f64| median(rows.iter().map(|row| value(&row[at])).collect());
+            let ratio = |value: &dyn Fn(&Cost) -> f64| {
+                median(rows.iter().map(|row| value(&row[at]) / value(&row[0])).collect())
+            };
+            let quantile = |q: f64| move |cost: &Cost| cost.calls.value_at_quantile(q) as f64 / 1e3;
+            println!(
+                "  {name:<12} mean {:.1} us ({:.3}), p50 {:.1} us ({:.3}), p99 {:.1} us ({:.3}), max {:.0} us; the tap itself {:.2} %; CPU of the process ({:.3})",
+                of(&|cost| cost.mean_us),
+                ratio(&|cost| cost.mean_us),
+                of(&quantile(0.5)),
+                ratio(&quantile(0.5)),
+                of(&quantile(0.99)),
+                ratio(&quantile(0.99)),
+                of(&|cost| cost.calls.max() as f64 / 1e3),
+                100.0 * of(&|cost| cost.tapped),
+                ratio(&|cost| cost.cpu_s.max(0.01)),
+            );
+        }
+        let on = |value: &dyn Fn(&Cost) -> f64| median(rows.iter().map(|row| value(&row[1])).collect());
+        let off = |value: &dyn Fn(&Cost) -> f64| median(rows.iter().map(|row| value(&row[0])).collect());
+        let secs = calls as f64 / 4.0;
+        println!(
+            "  {:.1} bytes an event, {:.1} MB an hour; replay {:.0} times as fast; a checkpoint {:.0} KB in {:.2} ms\n",
+            on(&|cost| cost.bytes as f64 / cost.events as f64),
+            on(&|cost| cost.bytes as f64) / secs * 3600.0 / 1e6,
+            on(&|cost| cost.replay),
+            off(&|cost| cost.checkpoint.0 as f64) / 1e3,
+            off(&|cost| cost.checkpoint.1.as_secs_f64()) * 1e3,
+        );
+    }
+}
--- a/crates/wingfold-archive/src/writer.rs
+++ b/crates/wingfold-archive/src/writer.rs
@@ -2,19 +2,22 @@
 //! A disk that stands still holds up this thread and nobody else: the queue fills, and the tap lets go of calls.
 
 use crate::disk::{reason, Disk};
+use std::collections::VecDeque;
 use std::io;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wingfold_capture::model::Head;
 use wingfold_capture::scribe::{Do, Item, Limits, Scribe};
 use wingfold_capture::tap::Queue;
 
 /// What an item costs besides its bytes.
 const OVERHEAD: usize = 96;
+/// The writer looks for work so often.
+const LOOK: Duration = Duration::from_millis(100);
 /// A folder that cannot be opened (another director's, say) is tried again so often.
 const AGAIN: Duration = Duration::from_secs(5);
 
@@ -46,6 +49,7 @@
     checkpoints: AtomicUsize,
 }
 
+#[derive(Debug)]
 enum Message {
     Item(Item),
     Dump(PathBuf, Sender<io::Result<usize>>),
@@ -53,12 +57,42 @@
     End,
 }
 
+/// What waits for the writer. It is held for as long as moving a pointer takes, by either end.
+#[derive(Debug, Default)]
+struct Post {
+    queue: Mutex<VecDeque<Message>>,
+    news: Condvar,
+}
+
+impl Post {
+    fn lock(&self) -> MutexGuard<'_, VecDeque<Message>> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn put(&self, message: Message) {
+        self.lock().push_back(message);
+        self.news.notify_one();
+    }
+
+    /// All that waits, after this time at the latest.
+    fn take(&self, within: Duration) -> VecDeque<Message> {
+        let queue = self.lock();
+        let urgent =
+            |queue: &mut VecDeque<Message>| !queue.iter().any(|message| !matches!(message, Message::Item(_)));
+        let (mut queue, _) =
+            self.news.wait_timeout_while(queue, within, urgent).unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut queue)
+    }
+}
+
 /// The tap's end of the queue.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Mailbox {
-    to: Sender<Message>,
+    post: Arc<Post>,
     told: Arc<Told>,
     most: usize,
+    /// Items that found the queue held at that moment: they go with the next one.
+    held: VecDeque<Message>,
 }
 
 impl Queue for Mailbox {
@@ -74,7 +108,12 @@
         if matches!(item, Item::Checkpoint { .. }) {
             self.told.checkpoints.fetch_add(1, Ordering::Relaxed);
         }
-        self.to.send(Message::Item(item)).is_ok()
+        self.held.push_back(Message::Item(item));
+        // Nobody is woken: the writer looks by itself, and waking it would cost more than the call's own bytes.
+        if let Ok(mut queue) = self.post.queue.try_lock() {
+            queue.append(&mut self.held);
+        }
+        true
     }
 
     fn wants_checkpoint(&self) -> bool {
@@ -82,26 +121,33 @@
     }
 }
 
+impl Drop for Mailbox {
+    fn drop(&mut self) {
+        self.post.lock().append(&mut self.held);
+        self.post.put(Message::End);
+    }
+}
+
 /// The owner's end.
 #[derive(Clone, Debug)]
 pub struct Handle {
-    to: Sender<Message>,
+    post: Arc<Post>,
     /// What the writer tells.
     pub told: Arc<Told>,
-    ended: Arc<std::sync::Mutex<Option<Receiver<()>>>>,
+    ended: Arc<Mutex<Option<Receiver<()>>>>,
 }
 
 impl Handle {
     /// Asks for what is held in memory to be written into a folder; the answer comes when that is done.
     pub fn dump(&self, to: PathBuf) -> Receiver<io::Result<usize>> {
         let (answer, answers) = channel();
-        let _ = self.to.send(Message::Dump(to, answer));
+        self.post.put(Message::Dump(to, answer));
         answers
     }
 
     /// Ends the capture well, if the disk lets it within this time.
     pub fn end(&self, within: Duration) -> bool {
-        let _ = self.to.send(Message::End);
+        self.post.put(Message::End);
         let ended = self.ended.lock().ok().and_then(|mut ended| ended.take());
         ended.is_some_and(|ended| matches!(ended.recv_timeout(within), Err(RecvTimeoutError::Disconnected)))
     }
@@ -113,15 +159,15 @@
     plan: Plan,
     log: impl Fn(String) + Send + 'static,
 ) -> io::Result<(Mailbox, Handle)> {
-    let (to, from) = channel();
+    let post = Arc::new(Post::default());
     let (alive, ended) = channel::<()>();
     let told = Arc::new(Told::default());
-    let mailbox = Mailbox { to: to.clone(), told: told.clone(), most: plan.queue };
-    let handle = Handle { to, told: told.clone(), ended: Arc::new(std::sync::Mutex::new(Some(ended))) };
+    let mailbox = Mailbox { post: post.clone(), told: told.clone(), most: plan.queue, held: VecDeque::new() };
+    let handle = Handle { post: post.clone(), told: told.clone(), ended: Arc::new(Mutex::new(Some(ended))) };
     thread::Builder::new().name("capture".into()).spawn(move || {
         // Dropped at the end, whichever way that comes.
         let _alive = alive;
-        Writer { disk, told, plan, log, work: Vec::new() }.run(&from);
+        Writer { disk, told, plan, log, work: Vec::new() }.run(&post);
     })?;
     Ok((mailbox, handle))
 }
@@ -135,29 +181,40 @@
 }
 
 impl<L: Fn(String)> Writer<L> {
-    fn run(mut self, from: &Receiver<Message>) {
-        let Some(mut scribe) = self.open(from) else { return };
+    fn run(mut self, post: &Post) {
+        let Some(mut scribe) = self.open(post) else { return };
+        let pause = LOOK.min(Duration::from_micros(self.plan.limits.flush.0));
+        let mut quiet = Duration::ZERO;
         loop {
             self.told.wants.store(scribe.wants_checkpoint(), Ordering::Relaxed);
-            let pause = Duration::from_micros(self.plan.limits.flush.0);
-            match from.recv_timeout(pause) {
-                Ok(Message::Item(item)) => {
-                    self.taken(&item);
-                    scribe.take(item, &mut self.work);
-                }
-                Ok(Message::Dump(to, answer)) => {
-                    scribe.rest(&mut self.work);
-                    self.carry_out(&mut scribe);
-                    drop(answer.send(self.disk.dump(&to)));
-                }
-                Err(RecvTimeoutError::Timeout) => scribe.rest(&mut self.work),
-                Ok(Message::End) | Err(RecvTimeoutError::Disconnected) => {
-                    scribe.end(&mut self.work);
-                    self.carry_out(&mut scribe);
-                    return;
+            let messages = post.take(pause);
+            // What waits is written also while nothing comes: a director that stands still may be killed next.
+            quiet = if messages.is_empty() { quiet + pause } else { Duration::ZERO };
+            if quiet >= Duration::from_micros(self.plan.limits.flush.0) {
+                scribe.rest(&mut self.work);
+                self.carry_out(&mut scribe);
+                quiet = Duration::ZERO;
+            }
+            for message in messages {
+                match message {
+                    Message::Item(item) => {
+                        self.taken(&item);
+                        scribe.take(item, &mut self.work);
+                    }
+                    Message::Dump(to, answer) => {
+                        scribe.rest(&mut self.work);
+                        self.carry_out(&mut scribe);
+                        drop(answer.send(self.disk.dump(&to)));
+                    }
+                    Message::End => {
+                        scribe.end(&mut self.work);
+                        self.carry_out(&mut scribe);
+                        return;
+                    }
                 }
+                self.carry_out(&mut scribe);
+                self.told.wants.store(scribe.wants_checkpoint(), Ordering::Relaxed);
             }
-            self.carry_out(&mut scribe);
         }
     }
 
@@ -169,7 +226,7 @@
     }
 
     /// Gets the disk ready; until then everything that comes is let go of, and a later checkpoint begins.
-    fn open(&mut self, from: &Receiver<Message>) -> Option<Scribe> {
+    fn open(&mut self, post: &Post) -> Option<Scribe> {
         let mut said = String::new();
         loop {
             match self.disk.open() {
@@ -177,24 +234,22 @@
                 Err(error) => {
                     self.told.failures.fetch_add(1, Ordering::Relaxed);
                     if error.to_string() != said {
-                        (self.log)(format!(
-                            "capture: cannot begin: {error}; tried again every {} s",
-                            AGAIN.as_secs()
-                        ));
+                        let secs = AGAIN.as_secs();
+                        (self.log)(format!("capture: cannot begin: {error}; tried again every {secs} s"));
                     }
                     said = error.to_string();
                 }
             }
-            let again = std::time::Instant::now() + AGAIN;
-            loop {
-                let left = again.saturating_duration_since(std::time::Instant::now());
-                match from.recv_timeout(left) {
-                    Ok(Message::Item(item)) => self.taken(&item),
-                    Ok(Message::Dump(_, answer)) => {
-                        drop(answer.send(Err(io::Error::other("the capture has not begun"))));
+            let again = Instant::now() + AGAIN;
+            while Instant::now() < again {
+                for message in post.take(LOOK) {
+                    match message {
+                        Message::Item(item) => self.taken(&item),
+                        Message::Dump(_, answer) => {
+                            drop(answer.send(Err(io::Error::other("the capture has not begun"))));
+                        }
+                        Message::End => return None,
                     }
-                    Err(RecvTimeoutError::Timeout) => break,
-                    Ok(Message::End) | Err(RecvTimeoutError::Disconnected) => return None,
                 }
             }
         }
--- a/crates/wingfold-capture/src/case.rs
+++ b/crates/wingfold-capture/src/case.rs
@@ -126,7 +126,7 @@
             }
         }
         _ => {
-            block.wrong("is not known; here are out, share, standing, level");
+            block.unknown("is not known; here are out, share, standing, level");
             return None;
         }
     };
--- a/crates/wingfold-capture/src/reader.rs
+++ b/crates/wingfold-capture/src/reader.rs
@@ -53,13 +53,6 @@
 }
 
 impl<'a> Entries<'a> {
-    /// Goes on with the block at this place, as an index names it. A place where none begins is told as damage.
-    pub fn seek(&mut self, offset: u64) {
-        (self.calls, self.used, self.ended) = (Vec::new(), 0, false);
-        self.at = usize::try_from(offset).unwrap_or(usize::MAX).min(self.bytes.len());
-        self.number = Block::at(self.bytes, self.at).map_or(0, |block| block.number);
-    }
-
     fn damage(&mut self, offset: usize, fault: Fault) -> Option<Entry> {
         match block::resume(self.bytes, offset + 1) {
             Some(next) => {
--- a/crates/wingfold-capture/src/tap.rs
+++ b/crates/wingfold-capture/src/tap.rs
@@ -1,7 +1,7 @@
 //! The engine's end of a recorder: numbers the calls, writes each down, and lets go of it where there is no room. It
 //! never waits. After calls that were let go of it goes on from a fresh checkpoint, so that what follows replays.
 
-use crate::model::{pack, CallOut, Reason};
+use crate::model::{CallOut, Reason};
 use crate::scribe::Item;
 use wingfold_director::interface::{Action, Event, Micros};
 use wingfold_director::Director;
@@ -56,12 +56,14 @@
     /// Bytes of the last checkpoint: so much room the next one needs.
     usual: usize,
     lost: u64,
+    /// Packed actions of the last call: the memory is used again.
+    scratch: Vec<u8>,
 }
 
 impl<Q: Queue> Tap<Q> {
     /// For a director that has not been called yet.
     pub fn new(queue: Q) -> Self {
-        Tap { queue, next: 1, state: State::Waiting(Micros(0)), usual: 0, lost: 0 }
+        Tap { queue, next: 1, state: State::Waiting(Micros(0)), usual: 0, lost: 0, scratch: Vec::new() }
     }
 
     /// The number of the call that comes next.
@@ -115,9 +117,13 @@
             self.lost += 1;
             return number;
         }
-        let actions = pack(actions);
+        let mut scratch = std::mem::take(&mut self.scratch);
+        scratch.clear();
+        let actions = postcard::to_extend(actions, scratch).expect("actions are plain, written to memory");
         let call = CallOut { number, at, events, actions: &actions, digest };
-        let bytes = postcard::to_allocvec(&call).expect("calls are plain, written to memory");
+        let room = Vec::with_capacity(64 + actions.len() + 48 * events.len());
+        let bytes = postcard::to_extend(&call, room).expect("calls are plain, written to memory");
+        self.scratch = actions;
         if !self.queue.put(Item::Call { number, at, bytes }) {
             self.lost += 1;
             self.state = State::Waiting(Micros(at.0.saturating_add(PAUSE.0)));
--- a/crates/wingfold-capture/src/why.rs
+++ b/crates/wingfold-capture/src/why.rs
@@ -87,7 +87,7 @@
 #[derive(Debug)]
 pub struct Onlooker {
     question: Question,
-    recent: BTreeMap<HostId, VecDeque<(Micros, Option<ZoneId>, Event)>>,
+    recent: BTreeMap<HostId, VecDeque<(Micros, Event)>>,
     seen: BTreeMap<(ZoneId, HostId), Seen>,
     last: (u64, Micros),
 }
@@ -127,14 +127,14 @@
             // Shares of the others' moves are small; what halves or doubles a host's is a move of its own.
             let moved = (share - seen.share).abs() > 0.2 * share.max(seen.share).max(0.01);
             if (turned || moved) && !first {
+                // Of all zones: a host is judged by the tries of all, and the list is the same for all.
                 let heard = self.recent.get(&host).into_iter().flatten();
-                let heard = heard.filter(|(_, of, _)| of.as_ref().is_none_or(|of| *of == zone));
                 let entry = Move {
                     call: call.number,
                     at: call.at,
                     standing: turned.then_some((was, is)),
                     share: (seen.share, share),
-                    heard: heard.map(|(at, _, event)| (*at, event.clone())).collect(),
+                    heard: heard.cloned().collect(),
                     noted: noted
                         .iter()
                         .filter(|text| text.contains(&*host.0))
@@ -151,7 +151,12 @@
     }
 
     fn watched(&self, director: &Director) -> Vec<(ZoneId, HostId)> {
-        let of_proxy = self.question.proxy.and_then(|proxy| director.proxy_view(proxy)).map(|(zone, _)| zone);
+        let of_proxy = self.question.proxy.map(|proxy| director.proxy_view(proxy));
+        // A proxy that is not joined here goes by nothing of this director's.
+        if matches!(of_proxy, Some(None)) {
+            return Vec::new();
+        }
+        let of_proxy = of_proxy.flatten().map(|(zone, _)| zone);
         let asked = self.question.zone.clone().or(of_proxy);
         let zones = director.zone_views().into_iter().map(|view| view.zone);
         let zones = zones.filter(|zone| asked.as_ref().is_none_or(|asked| asked == zone));
@@ -161,19 +166,18 @@
     }
 
     fn remember(&mut self, at: Micros, event: &Event) {
-        let mut keep = |host: &HostId, zone: Option<&ZoneId>, event: Event| {
+        let mut keep = |host: &HostId, event: Event| {
             let recent = self.recent.entry(host.clone()).or_default();
             if recent.len() == RECENT {
                 recent.pop_front();
             }
-            recent.push_back((at, zone.cloned(), event));
+            recent.push_back((at, event));
         };
         match event {
-            Event::Heard(zone, host, ..) => keep(host, Some(zone), event.clone()),
-            Event::Probed(host, ..) => keep(host, None, event.clone()),
+            Event::Heard(_, host, ..) | Event::Probed(host, ..) => keep(host, event.clone()),
             Event::List(kind, entries) => {
                 for entry in entries {
-                    keep(&entry.host, None, Event::List(*kind, vec![entry.clone()]));
+                    keep(&entry.host, Event::List(*kind, vec![entry.clone()]));
                 }
             }
             _ => {}
--- a/crates/wingfold-lab/scenarios/overload.hcl
+++ b/crates/wingfold-lab/scenarios/overload.hcl
@@ -36,5 +36,5 @@
 fault "burst" {
   at = "15s"
   lasts = "20s"
-  size = 1.7
+  size = 2.3
 }
--- a/crates/wingfold-lab/src/report.rs
+++ b/crates/wingfold-lab/src/report.rs
@@ -124,7 +124,13 @@
             .y_label_area_size(40)
             .build_cartesian_2d(0.0..length, 0.0..1.05)
             .map_err(|e| wrong(&e))?;
-        chart.configure_mesh().x_desc("s").y_desc("service").draw().map_err(|e| wrong(&e))?;
+        chart
+            .configure_mesh()
+            .max_light_lines(1)
+            .x_desc("s")
+            .y_desc("service")
+            .draw()
+            .map_err(|e| wrong(&e))?;
         let share = |(asked, good): &(f64, f64)| if *asked > 0.0 { good / asked } else { 1.0 };
         let points = |windows: Vec<f64>| {
             windows
--- a/crates/wingfold-lab/src/scenario.rs
+++ b/crates/wingfold-lab/src/scenario.rs
@@ -330,7 +330,7 @@
         "director_stall" => Trouble::DirectorStall(director),
         "streams_break" => Trouble::StreamsBreak,
         _ => {
-            block.wrong(format!("is not known; here are {}", TROUBLES.join(", ")));
+            block.unknown(format!("is not known; here are {}", TROUBLES.join(", ")));
             return None;
         }
     };
--- a/crates/wingfold-settings/src/hcl.rs
+++ b/crates/wingfold-settings/src/hcl.rs
@@ -169,6 +169,12 @@
         self.sheet.fault(self.span.clone(), &self.path, problem.into());
     }
 
+    /// Tells a fault of this block as a whole, and passes over what is in it.
+    pub fn unknown(&self, problem: impl Into<String>) {
+        self.wrong(problem);
+        self.forget();
+    }
+
     /// Tells a fault of one of its keys.
     pub fn wrong_at(&self, name: &str, span: Option<Range<usize>>, problem: impl Into<String>) {
         self.sheet.fault(span.or(self.span.clone()), &self.key(name), problem.into());
@@ -290,8 +296,7 @@
     pub fn block(&self, name: &'static str) -> Option<Block> {
         let mut found = self.blocks(name);
         for second in found.drain(1.min(found.len())..) {
-            second.wrong("stands twice");
-            second.forget();
+            second.unknown("stands twice");
         }
         found.pop()
     }
@@ -334,8 +339,7 @@
             self.wrong_at(&name, attribute.span, near(&name));
         }
         for (name, block) in self.blocks.take() {
-            block.wrong(near(&name));
-            block.forget();
+            block.unknown(near(&name));
         }
     }
 }
--- a/crates/wingfold/src/capture.rs
+++ b/crates/wingfold/src/capture.rs
@@ -158,7 +158,12 @@
                         format!("calls {} to {} were not recorded: {}", gap.from, gap.to, gap.reason)
                     }));
                 }
-                Entry::Index(_) => ended = true,
+                Entry::Index(index) => {
+                    ended = true;
+                    if index.calls != calls {
+                        faults.push(format!("its index speaks of {} calls", index.calls));
+                    }
+                }
                 Entry::Damage { offset, fault } => faults.push(format!("byte {offset}: {fault}")),
                 Entry::Head(_) => {}
             }
--- a/crates/wingfold/src/why.rs
+++ b/crates/wingfold/src/why.rs
@@ -133,15 +133,12 @@
         if !answer.hosts.is_empty() {
             return Ok(());
         }
-        Err(match (&self.host, &self.zone, self.proxy) {
-            (Some(host), ..) => {
-                format!("no host `{host}` was known at {} (or no such zone)", say::time(answer.at))
-            }
-            (_, Some(zone), _) => format!("no zone `{zone}` was known at {}", say::time(answer.at)),
-            (_, _, Some(proxy)) => {
-                format!("proxy {proxy} was not joined to this director at {}", say::time(answer.at))
-            }
-            _ => format!("no host was known at {}", say::time(answer.at)),
+        let at = say::time(answer.at);
+        Err(match (self.proxy, &self.host, &self.zone) {
+            (Some(proxy), ..) => format!("proxy {proxy} was not joined to this director at {at}"),
+            (_, Some(host), _) => format!("no host `{host}` was known at {at} (or no such zone)"),
+            (_, _, Some(zone)) => format!("no zone `{zone}` was known at {at}"),
+            _ => format!("no host was known at {at}"),
         })
     }
 }
@@ -294,7 +291,7 @@
         100.0 * one.share.1
     );
     one.noted.iter().for_each(|text| println!("        it noted: {text}"));
-    let skip = one.heard.len().saturating_sub(6);
+    let skip = one.heard.len().saturating_sub(8);
     for (at, event) in one.heard.iter().skip(skip) {
         println!("        {}: {}", say::time(*at), say::event(head, event));
     }
