Send figures to Graphite and collectd, with states that tell a cut hall from a quiet night

Cause: night staff watch dashboards; a hall that is cut off looked like a quiet night, and nothing but plain /metrics told of a director.

Change: wingfold-figures, without I/O: a catalogue of 50 figures, labels encoded so that none meets another, a meter that the engine tells of events and answers, states of silence worked out from what is due, lag of late sums, a receiver's queue, times and pauses, consistent hashing with failover, Graphite's lines and pickles, collectd's binary protocol both ways, signed and encrypted, with guards against replay. In the node: sinks as tasks that never block, a collectd listener, spans of stages with the slowest and the failed kept, reload of receivers, /figures. `wingfold figures list|watch`. The emulator has dead collectors and traffic by zone, and an onlooker.

Ruled out on the way: counting turns of sums per host or by medians (disorder and uneven arrival made the lag drift by a period a minute); gaps and surpluses of sums hold within half a second. Seven expected pieces of news as the limit of chance made one quiet hall in five look silent once in 100 s; ten do not.

--- a/crates/wingfold-director/src/inspect.rs
+++ b/crates/wingfold-director/src/inspect.rs
@@ -103,6 +103,25 @@
     pub proxies: Vec<ProxyId>,
 }
 
+/// How many hosts a zone treats how.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Tally {
+    /// At listed weight.
+    pub leading: usize,
+    /// At half of it.
+    pub halved: usize,
+    /// At a quarter or less.
+    pub quartered: usize,
+    /// Taken out.
+    pub out: usize,
+    /// On trial.
+    pub trial: usize,
+    /// That may still be cold, whatever else they are.
+    pub cold: usize,
+    /// That drain, or are gone and still known.
+    pub draining: usize,
+}
+
 /// What concerns the whole fleet.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct FleetView {
@@ -152,6 +171,49 @@
         self.zones.iter().map(view).collect()
     }
 
+    /// How many hosts a zone treats how.
+    pub fn tally(&self, zone: &ZoneId) -> Tally {
+        let mut tally = Tally::default();
+        let Some(owner) = self.zones.get(zone) else { return tally };
+        for (id, host) in &self.fleet {
+            if !host.ready() {
+                tally.draining += 1;
+                continue;
+            }
+            tally.cold += usize::from(self.age(host) < 1.0);
+            let count = match owner.paths.get(id).map(|path| (path.state, path.step)) {
+                None | Some((Health::In, 0)) => &mut tally.leading,
+                Some((Health::In, 1)) => &mut tally.halved,
+                Some((Health::In, _)) => &mut tally.quartered,
+                Some((Health::Out(_), _)) => &mut tally.out,
+                Some((Health::Trial(_), _)) => &mut tally.trial,
+            };
+            *count += 1;
+        }
+        tally
+    }
+
+    /// Nothing that proxies of other zones try at a zone's hosts comes back, of half of them at least: a sign of a cut.
+    pub fn beyond(&self, zone: &ZoneId) -> bool {
+        let hosts: Vec<&HostId> =
+            self.ready().filter(|(_, h)| h.entry.zone == *zone).map(|(id, _)| id).collect();
+        let (mut lost, mut most) = (0, 0);
+        for (name, owner) in self.zones.iter().filter(|(name, _)| *name != zone) {
+            if self.proxies_of(name).next().is_none() {
+                continue;
+            }
+            most = hosts.len();
+            for path in hosts.iter().filter_map(|id| owner.paths.get(*id)) {
+                let recent = self.now.since(path.faded_at) <= 6.0 * self.set.report_period.secs();
+                if path.state == Health::In && path.streak == 0.0 && path.good >= 0.5 && recent {
+                    return false;
+                }
+                lost += usize::from(matches!(path.state, Health::Out(_)) || path.streak >= 1.0);
+            }
+        }
+        most > 0 && 2 * lost >= most.max(1)
+    }
+
     /// How many zones it knows: those of its settings, and those that a proxy came from.
     pub fn zone_count(&self) -> usize {
         self.zones.len()
--- a/crates/wingfold-lab/src/proxy.rs
+++ b/crates/wingfold-lab/src/proxy.rs
@@ -29,6 +29,8 @@
 pub struct Proxy {
     pub zone: usize,
     pub rate: f64,
+    /// Counts changes of its traffic: a request drawn before does not come.
+    pub asks: u32,
     /// The director it is joined to, and since when.
     pub director: Option<usize>,
     pub joined_at: Micros,
@@ -52,6 +54,7 @@
         Proxy {
             zone,
             rate,
+            asks: 0,
             director: None,
             joined_at: Micros(0),
             stream: 0,
--- a/crates/wingfold-lab/src/scenario.rs
+++ b/crates/wingfold-lab/src/scenario.rs
@@ -79,6 +79,10 @@
     DirectorStall(usize),
     /// The director's proxies lose their streams at once and dial again.
     StreamsBreak,
+    /// A zone's collector says nothing; its proxies' streams go on.
+    CollectorDead(String),
+    /// A zone's traffic is so many times the usual.
+    Traffic(String, f64),
 }
 
 /// A trouble with its time.
@@ -277,7 +281,7 @@
     }
 }
 
-const TROUBLES: [&str; 16] = [
+const TROUBLES: [&str; 18] = [
     "crash",
     "vanish",
     "hang",
@@ -294,6 +298,8 @@
     "director_down",
     "director_stall",
     "streams_break",
+    "collector_dead",
+    "traffic",
 ];
 
 fn fault(block: &Block, length: Micros, zones: &[String], directors: usize) -> Option<Fault> {
@@ -329,6 +335,11 @@
         "director_down" => Trouble::DirectorDown(director),
         "director_stall" => Trouble::DirectorStall(director),
         "streams_break" => Trouble::StreamsBreak,
+        "collector_dead" => Trouble::CollectorDead(block.need("zone", zone.clone(), String::new())),
+        "traffic" => {
+            let zone = block.need("zone", zone.clone(), String::new());
+            Trouble::Traffic(zone, size.unwrap_or(0.1))
+        }
         _ => {
             block.unknown(format!("is not known; here are {}", TROUBLES.join(", ")));
             return None;
--- a/crates/wingfold-lab/src/world.rs
+++ b/crates/wingfold-lab/src/world.rs
@@ -104,7 +104,7 @@
 }
 
 enum Happens {
-    Arrive(usize),
+    Arrive(usize, u32),
     /// An attempt reaches its host.
     Reach(u64, usize),
     /// A core has done with an attempt, in that life of the host.
@@ -192,6 +192,7 @@
     plan: &'a Scenario,
     seed: u64,
     captures: Option<&'a Path>,
+    onlooker: &'a mut dyn Onlooker,
     now: Micros,
     due: BinaryHeap<Reverse<Due>>,
     number: u64,
@@ -207,6 +208,9 @@
     struck: Vec<Vec<usize>>,
     cut: BTreeSet<usize>,
     burst: f64,
+    /// Traffic by zone, and zones whose collector is dead.
+    traffic: Vec<f64>,
+    mute: BTreeSet<usize>,
     late: Micros,
     silent_list: bool,
     first: Vec<Entry>,
@@ -215,9 +219,36 @@
     played: Played,
 }
 
+/// Looks on at every call of every director.
+pub trait Onlooker {
+    /// A director was told this and has answered.
+    fn called(
+        &mut self,
+        director: usize,
+        now: Micros,
+        events: &[Event],
+        actions: &[Action],
+        module: &Director,
+    );
+}
+
+impl Onlooker for () {
+    fn called(&mut self, _: usize, _: Micros, _: &[Event], _: &[Action], _: &Director) {}
+}
+
 /// Plays a scenario with a seed; where a folder is named, each director's calls are captured below it.
 pub fn play(plan: &Scenario, seed: u64, captures: Option<&Path>) -> io::Result<Played> {
-    let mut world = World::new(plan, seed, captures);
+    play_before(plan, seed, captures, &mut ())
+}
+
+/// The same before an onlooker.
+pub fn play_before(
+    plan: &Scenario,
+    seed: u64,
+    captures: Option<&Path>,
+    onlooker: &mut dyn Onlooker,
+) -> io::Result<Played> {
+    let mut world = World::new(plan, seed, captures, onlooker);
     world.begin()?;
     while let Some(Reverse(Due(at, _, what))) = world.due.pop() {
         if at > plan.length {
@@ -237,7 +268,12 @@
 }
 
 impl<'a> World<'a> {
-    fn new(plan: &'a Scenario, seed: u64, captures: Option<&'a Path>) -> Self {
+    fn new(
+        plan: &'a Scenario,
+        seed: u64,
+        captures: Option<&'a Path>,
+        onlooker: &'a mut dyn Onlooker,
+    ) -> Self {
         let stream = |number: u64| {
             let mut chance = ChaCha8Rng::seed_from_u64(seed);
             chance.set_stream(number);
@@ -278,6 +314,7 @@
             plan,
             seed,
             captures,
+            onlooker,
             now: Micros(0),
             due: BinaryHeap::new(),
             number: 0,
@@ -292,6 +329,8 @@
             struck,
             cut: BTreeSet::new(),
             burst: 1.0,
+            traffic: vec![1.0; zones],
+            mute: BTreeSet::new(),
             late: Micros(0),
             silent_list: false,
             works,
@@ -398,14 +437,20 @@
     }
 
     fn next_arrival(&mut self, proxy: usize) {
-        let rate = (self.proxies[proxy].rate * self.burst).max(1e-6);
+        let zone = self.proxies[proxy].zone;
+        let rate = (self.proxies[proxy].rate * self.burst * self.traffic[zone]).max(1e-6);
         let wait = Exp::new(rate).expect("the rate is above 0").sample(&mut self.arrivals);
-        self.after(Micros::from_secs(wait), Happens::Arrive(proxy));
+        let asks = self.proxies[proxy].asks;
+        self.after(Micros::from_secs(wait), Happens::Arrive(proxy, asks));
     }
 
     fn happen(&mut self, what: Happens) -> io::Result<()> {
         match what {
-            Happens::Arrive(proxy) => self.arrive(proxy),
+            Happens::Arrive(proxy, asks) => {
+                if self.proxies[proxy].asks == asks {
+                    self.arrive(proxy);
+                }
+            }
             Happens::Reach(attempt, host) => self.reach(attempt, host),
             Happens::Done(host, attempt, life) => self.done(host, attempt, life),
             Happens::Answer(attempt, end) => self.answer(attempt, end),
@@ -644,7 +689,10 @@
         }
         for director in 0..self.directors.len() {
             for zone in 0..self.plan.settings.zones.len() {
-                let events = self.sums(director, zone, period);
+                let mut events = self.sums(director, zone, period);
+                if self.mute.contains(&zone) {
+                    events.retain(|event| !matches!(event, Event::Heard(..)));
+                }
                 if events.is_empty() || self.parted(zone, self.directors[director].zone) {
                     continue;
                 }
@@ -769,6 +817,7 @@
         if let Some(tap) = &mut director.tap {
             tap.after(now, &events, &actions, module.digest());
         }
+        self.onlooker.called(at, now, &events, &actions, module);
         self.carry_out(at, &actions);
         self.actions = actions;
         Ok(())
@@ -963,6 +1012,11 @@
         self.announce(host);
     }
 
+    fn zone(&self, name: &str) -> usize {
+        let zone = self.plan.settings.zones.iter().position(|known| *known.0 == *name);
+        zone.expect("the scenario was checked")
+    }
+
     fn fault(&mut self, number: usize, begins: bool) -> io::Result<()> {
         let (plan, hosts) = (self.plan, self.struck[number].clone());
         let fault = &plan.faults[number];
@@ -1019,8 +1073,7 @@
             }
             Trouble::Deploy(_) => {}
             Trouble::Cut(zone) => {
-                let zone = plan.settings.zones.iter().position(|known| *known.0 == **zone);
-                let zone = zone.expect("the scenario was checked");
+                let zone = self.zone(zone);
                 if begins {
                     self.cut.insert(zone)
                 } else {
@@ -1036,6 +1089,25 @@
                     }
                 }
             }
+            Trouble::CollectorDead(zone) => {
+                let zone = self.zone(zone);
+                if begins {
+                    self.mute.insert(zone)
+                } else {
+                    self.mute.remove(&zone)
+                };
+            }
+            Trouble::Traffic(zone, times) => {
+                let zone = self.zone(zone);
+                self.traffic[zone] = if begins { *times } else { 1.0 };
+                // Those that wait for their next request at the old rate ask anew.
+                for proxy in
+                    (0..self.proxies.len()).filter(|at| self.proxies[*at].zone == zone).collect::<Vec<_>>()
+                {
+                    self.proxies[proxy].asks += 1;
+                    self.next_arrival(proxy);
+                }
+            }
             Trouble::Burst(times) => self.burst = if begins { *times } else { 1.0 },
             Trouble::LateReports(by) => {
                 self.late = if begins { Micros(by.as_micros() as u64) } else { Micros(0) };
--- a/crates/wingfold-node/src/book.rs
+++ b/crates/wingfold-node/src/book.rs
@@ -81,6 +81,7 @@
     channel_lines_most: "gauge", "Most lines that have waited in the channel, by its usual pace.";
     readers_slow_total: "counter", "Streams ended because their proxy left too much unread.";
     list_calls_total: "counter", "Calls to discovery.";
+    list_answers_total: "counter", "Good answers of discovery, those among them that told nothing new.";
     list_failures_total: "counter", "Calls to discovery that failed.";
     list_moves_total: "counter", "Times that a new configuration named another address of discovery.";
     list_version: "gauge", "Version of the list held.";
@@ -101,6 +102,14 @@
     capture_waiting_bytes: "gauge", "Bytes that wait for the capture's writer.";
     capture_failures_total: "counter", "Times that the capture's disk failed.";
     capture_dumps_total: "counter", "Times that a capture in memory was written out.";
+    intervals_dropped_total: "counter", "Intervals of figures dropped because the sinks lagged behind.";
+    collectd_in_total: "counter", "Packets of collectd taken in.";
+    collectd_refused_form_total: "counter", "Packets of collectd refused: they cannot be read.";
+    collectd_refused_open_total: "counter", "Packets of collectd refused: neither signed nor encrypted.";
+    collectd_refused_user_total: "counter", "Packets of collectd refused: of an unknown user.";
+    collectd_refused_key_total: "counter", "Packets of collectd refused: a wrong key, or changed.";
+    collectd_refused_replayed_total: "counter", "Packets of collectd refused: old, ahead, or sent before.";
+    collectd_refused_host_total: "counter", "Packets of collectd refused: they name no host that is mapped.";
     requests_http_total: "counter", "HTTP requests answered.";
 }
 
@@ -123,6 +132,11 @@
         self.spoilt_for(why).one();
     }
 
+    /// Messages dropped for a reason so far.
+    pub fn spoilt_so_far(&self, why: Spoilt) -> u64 {
+        self.spoilt_for(why).get()
+    }
+
     fn spoilt_for(&self, why: Spoilt) -> &Count {
         match why {
             Spoilt::Form => &self.messages_spoilt_form_total,
--- a/crates/wingfold-node/src/collector.rs
+++ b/crates/wingfold-node/src/collector.rs
@@ -16,7 +16,7 @@
         Err(spoilt) => return Ending::Wrong(spoilt),
     };
     door.book.collectors_total.one();
-    let (link, outbox) = outbox::link(door.number(), door.bounds.unread);
+    let (link, outbox) = outbox::link(door.number(), door.bounds.unread, None);
     let _place = door.place(&zone, link.clone());
     let admit = |message| match message {
         Inbound::Load(heard) if heard.site == zone => Ok(News::Report(sums(heard))),
@@ -24,7 +24,7 @@
         Inbound::Rate(rate) => door.usage(&rate).map(News::Report),
         _ => Err(Spoilt::Turn),
     };
-    party::serve(&door, (from, to), (&link, outbox), admit).await
+    party::serve(&door, (from, to), (&link, outbox), Some(&zone), admit).await
 }
 
 fn sums(heard: Heard) -> Event {
--- a/crates/wingfold-node/src/discovery.rs
+++ b/crates/wingfold-node/src/discovery.rs
@@ -9,7 +9,7 @@
 use crate::http::{CallError, Http};
 use crate::inbox::{Inbox, News};
 use crate::list::Listing;
-use crate::{log, or_never, reload};
+use crate::{log, or_never, reload, stage};
 use hyper::StatusCode;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -18,6 +18,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
+use tracing::Instrument;
 use wingfold_director::interface::{Event, ListKind};
 
 /// What the module orders.
@@ -132,12 +133,20 @@
         let within = wait + self.bounds.list_answer;
         Box::pin(async move {
             let begun = Instant::now();
-            let (status, body) = http.get(&address, &page, within).await?;
-            tracing::debug!(page, %status, took = ?begun.elapsed(), "discovery answered");
-            match status {
-                StatusCode::OK => Ok(Listing::read(&body)?),
-                status => Err(ListError::Status(status)),
+            let call = async {
+                let (status, body) = http.get(&address, &page, within).await?;
+                tracing::debug!(page, %status, took = ?begun.elapsed(), "discovery answered");
+                match status {
+                    StatusCode::OK => Ok(Listing::read(&body)?),
+                    status => Err(ListError::Status(status)),
+                }
+            };
+            let stage = stage!("relay", failed = tracing::field::Empty);
+            let answer = call.instrument(stage.clone()).await;
+            if let Err(error) = &answer {
+                stage.record("failed", tracing::field::display(error));
             }
+            answer
         })
     }
 
--- a/crates/wingfold-node/src/door.rs
+++ b/crates/wingfold-node/src/door.rs
@@ -2,6 +2,7 @@
 
 use crate::book::Book;
 use crate::config::{Bounds, Config};
+use crate::figures::{Delays, Pulse};
 use crate::frame::Budget;
 use crate::inbox::Inbox;
 use crate::log::Seldom;
@@ -32,6 +33,10 @@
     pub budget: Budget,
     /// Bounds the lines about strangers.
     pub strangers_told: Seldom,
+    /// How long orders take to be written, where that is kept.
+    pub delays: Option<Delays>,
+    /// Signs of life of collectors.
+    pub pulse: Pulse,
     /// Answers HTTP.
     pub router: Router,
     zones: Vec<Arc<str>>,
@@ -69,7 +74,13 @@
 
 impl Door {
     /// For a director with this configuration.
-    pub fn new(config: &Config, inbox: Inbox, book: Arc<Book>, router: Router) -> Self {
+    pub fn new(
+        config: &Config,
+        inbox: Inbox,
+        book: Arc<Book>,
+        router: Router,
+        (delays, pulse): (Option<Delays>, Pulse),
+    ) -> Self {
         Door {
             bounds: config.bounds.clone(),
             proxies: config.settings.proxies,
@@ -78,6 +89,8 @@
             pong: message::encode(&Outbound::Pong),
             budget: Budget::new(config.bounds.long_messages),
             strangers_told: Seldom::default(),
+            delays,
+            pulse,
             router,
             zones: config.settings.zones.iter().map(|zone| zone.0.clone()).collect(),
             classes: config.names.classes.clone(),
--- a/crates/wingfold-node/src/engine.rs
+++ b/crates/wingfold-node/src/engine.rs
@@ -7,6 +7,7 @@
 use crate::book::Book;
 use crate::clock::Clock;
 use crate::discovery::Ask;
+use crate::figures::Figures;
 use crate::inbox::{Intake, News};
 use crate::invariant;
 use crate::list::Addresses;
@@ -16,7 +17,7 @@
 use crate::probe::Prober;
 use crate::recorder::Dumps;
 use crate::tables::{Order, Tables};
-use crate::{log, or_never};
+use crate::{log, or_never, stage};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
@@ -61,6 +62,8 @@
     pub tap: Option<Tap<Mailbox>>,
     /// Writes out what a capture in memory holds.
     pub dumps: Option<Dumps>,
+    /// Counts for receivers of figures, where that is switched on.
+    pub figures: Option<Figures>,
 }
 
 /// The channel's own count of lines, by its usual pace: only to see that the module keeps within it.
@@ -100,8 +103,11 @@
                 alive = intake.take(&mut news) => if !alive { return },
                 () = or_never(due.map(sleep_until)) => {}
             }
-            for one in news.drain(..) {
-                self.take(one, &mut events);
+            {
+                let _stage = stage!("take in", call = self.calls + 1).entered();
+                for one in news.drain(..) {
+                    self.take(one, &mut events);
+                }
             }
             let now = self.clock.now();
             self.ring(now, &mut events);
@@ -149,7 +155,9 @@
                 events.push(Event::List(kind, entries));
             }
             // Only here it is known which hosts and marks there are.
-            News::Report(Event::Heard(_, host, ..)) if self.addresses.of(&host.0).is_none() => {
+            News::Report(Event::Heard(_, host, ..) | Event::Probed(host, ..))
+                if self.addresses.of(&host.0).is_none() =>
+            {
                 self.book.spoilt(Spoilt::Name);
             }
             News::Told(Event::Applied(proxy, mark, _)) if !self.tables.answered(proxy, mark) => {
@@ -171,9 +179,13 @@
         let begun = Instant::now();
         let broken = self.book.invariants_broken_total.get();
         self.calls += 1;
+        if let Some(figures) = &mut self.figures {
+            figures.told(now, events);
+        }
         if let Some(tap) = &mut self.tap {
             tap.before(now, &self.director);
         }
+        let stage = stage!("route", call = self.calls).entered();
         self.director.handle(now, events, actions);
         if let Some(tap) = &mut self.tap {
             tap.after(now, events, actions, self.director.digest());
@@ -182,13 +194,17 @@
         self.book.events_most.at_least(events.len() as u64);
         events.clear();
         let orders = self.tables.carry_out(actions);
+        drop(stage);
         let lines = orders.iter().map(Order::lines).sum();
-        let waiting = self.channel.add(now, orders.len(), lines);
+        let messages = orders.len();
+        let waiting = self.channel.add(now, messages, lines);
         self.book.channel_lines.set(waiting as u64);
         self.book.channel_lines_most.at_least(waiting as u64);
         let most = self.channel.most;
         invariant!(self.book, waiting <= most, "{waiting:.0} lines wait where {most:.0} may");
-        orders.into_iter().for_each(|order| self.send(order));
+        let stage = stage!("send", call = self.calls).entered();
+        orders.into_iter().for_each(|order| self.send(order, begun));
+        drop(stage);
         for action in actions.drain(..) {
             match action {
                 Action::Watch(on) => drop(self.discovery.send(Ask::Watch(on))),
@@ -216,7 +232,13 @@
         }
         self.book.hosts_known.set(self.addresses.len() as u64);
         self.book.answers_total.one();
-        self.book.answer_us_total.add(begun.elapsed().as_micros() as u64);
+        let took = begun.elapsed().as_micros() as u64;
+        self.book.answer_us_total.add(took);
+        if let Some(figures) = &mut self.figures {
+            let _stage = stage!("book", call = self.calls).entered();
+            figures.meter.answered(took, messages, lines, waiting);
+            figures.after(now, &self.director, &self.book);
+        }
         if let Some(dumps) = self.dumps.as_ref().filter(|_| self.book.invariants_broken_total.get() > broken)
         {
             dumps.invariant();
@@ -224,7 +246,7 @@
     }
 
     /// Encodes one proxy's orders and queues them on its stream.
-    fn send(&mut self, order: Order) {
+    fn send(&mut self, order: Order, ordered: Instant) {
         let Some(link) = self.links.get(&order.proxy) else { return };
         let (parts, lines) = (order.parts.len(), order.lines());
         invariant!(self.book, parts <= MOST_PARTS, "a message of {parts} parts");
@@ -237,7 +259,7 @@
             invariant!(self.book, listed, "a line names a host that discovery has never listed");
         }
         let frames = order.parts.into_iter().map(|part| message::encode(&Outbound::Config(part))).collect();
-        if link.send(frames) == Err(Slow) {
+        if link.order(frames, ordered) == Err(Slow) {
             tracing::warn!(proxy = order.proxy.0, "leaves too much unread, its stream ends");
             self.book.readers_slow_total.one();
             link.end();
--- a/crates/wingfold-node/src/engine/tests.rs
+++ b/crates/wingfold-node/src/engine/tests.rs
@@ -29,6 +29,7 @@
         calls: 0,
         tap: None,
         dumps: None,
+        figures: None,
     }
 }
 
@@ -52,7 +53,7 @@
         let list = Listing::read(list.as_bytes()).unwrap();
         engine.take(News::List(ListKind::Changes, list), &mut events);
         let proxy = ProxyId(second % 8);
-        let (link, outbox) = outbox::link(u64::from(second), 1 << 20);
+        let (link, outbox) = outbox::link(u64::from(second), 1 << 20, None);
         outboxes.insert(proxy, (link.number, outbox));
         engine.take(News::Joined(proxy, ZoneId("a".into()), 5.0, link), &mut events);
         if second % 16 > 7 {
--- a/crates/wingfold-node/src/lib.rs
+++ b/crates/wingfold-node/src/lib.rs
@@ -6,16 +6,19 @@
 
 mod accept;
 mod book;
+mod causes;
 mod clock;
 mod collector;
 pub mod config;
 mod discovery;
 mod door;
 mod engine;
+mod figures;
 mod frame;
 mod http;
 mod inbox;
 mod incoming;
+mod intake;
 mod list;
 mod log;
 mod message;
@@ -26,9 +29,11 @@
 mod probe;
 mod recorder;
 mod reload;
+mod sink;
 mod stream;
 mod tables;
 
+pub use causes::Causes;
 pub use config::{Config, First};
 pub use recorder::build;
 
@@ -43,9 +48,9 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
-use wingfold_director::interface::ListKind;
+use wingfold_director::interface::{ListKind, LoadReports, Micros};
 use wingfold_director::Director;
-use wingfold_settings::own::Own;
+use wingfold_settings::own::{Own, Sinks};
 
 /// The log shows the main figures so often: `/metrics` has all of them, but not those of a director that is gone.
 const FIGURES_EVERY: std::time::Duration = std::time::Duration::from_secs(10);
@@ -83,32 +88,49 @@
 }
 
 /// Serves as a director until SIGTERM or an interrupt; at SIGHUP it reads the configuration anew by `read`, which is
-/// told whether variables or the file's keys go first. `own` is what the platform's configuration does not speak of.
-pub async fn run(own: Own, read: impl Fn(First) -> Result<Config, ConfigError>) -> Result<(), RunError> {
+/// told whether variables or the file's keys go first, and what the platform's configuration does not speak of by `read_own`.
+pub async fn run(
+    Start { own, causes }: Start,
+    read: impl Fn(First) -> Result<Config, ConfigError>,
+    read_own: impl Fn() -> Result<Own, String>,
+) -> Result<(), RunError> {
     // Signals are heard before anything else: one that nobody hears ends the process.
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let (to, config) = watch::channel(Arc::new(read(First::Variable)?));
+    let sinks = own.figures.as_ref().map(|figures| figures.sinks.clone()).unwrap_or_default();
+    let (receivers, sinks) = watch::channel(Arc::new(sinks));
+    let settings = own.clone();
     let asked = async move {
         tokio::select! {
             _ = terminate.recv() => tracing::info!("asked to end"),
             _ = interrupt.recv() => tracing::info!("interrupted"),
-            () = reload::run(hangup, to, || read(First::Key)) => {}
+            () = reload::run(hangup, to, || read(First::Key), (settings, receivers), read_own) => {}
         }
     };
-    serve(config, own, asked).await
+    serve(config, Start { own, causes }, sinks, asked).await
 }
 
 /// Serves as a director until `end` is ready: for programs that have signals of their own. What `config` holds at the
 /// start is served; of what follows, `Config::with` says what takes effect at once.
 pub async fn serve(
     config: watch::Receiver<Arc<Config>>,
-    own: Own,
+    Start { mut own, causes }: Start,
+    sinks: watch::Receiver<Arc<Sinks>>,
     end: impl Future<Output = ()>,
 ) -> Result<(), RunError> {
     let (following, mut config) = (config.clone(), Config::clone(&config.borrow()));
     // What the capture takes is taken from the same limits, not on top of them.
+    let bounds = config.bounds.less(own.memory(), own.descriptors())?;
+    if bounds.connections < bounds.named && config.bounds.connections >= bounds.named && own.figures.is_some()
+    {
+        // Whoever joins goes first: figures are a help, and orders are the work.
+        tracing::warn!(
+            "key `limits.sockets`: too few for all that may join and for figures, which are not sent"
+        );
+        own.figures = None;
+    }
     config.bounds = config.bounds.less(own.memory(), own.descriptors())?;
     let clock = Clock::start();
     let book = Arc::new(Book::default());
@@ -122,7 +144,44 @@
         Some(capture) => Some(recorder::start(capture, &config, clock.now(), book.clone())?),
     };
     let (tap, dumps) = recorder.map_or((None, None), |(tap, dumps)| (Some(tap), Some(dumps)));
-    let door = Door::new(&config, inbox.clone(), book.clone(), ops::router(book.clone(), dumps.clone()));
+    let director = Director::new(config.settings.clone(), config.seed);
+    let told = own.figures.as_ref().map(|own| {
+        let (to, from) = tokio::sync::mpsc::channel(8);
+        let length = Micros(own.interval.as_micros() as u64);
+        let figures = figures::Figures {
+            meter: wingfold_figures::Meter::new(clock.now(), length, &director, &config.names.classes),
+            delays: figures::Delays::default(),
+            pulse: figures::Pulse::new(&config.settings.zones),
+            sinks: Arc::default(),
+            shown: figures::Shown::default(),
+            to,
+            causes,
+            name: config.name.clone(),
+            reasons: ["form", "range", "name", "turn", "mark"].map(Arc::from),
+            listed: 0,
+        };
+        (figures, from)
+    });
+    let (figures, intervals) = told.map_or((None, None), |(figures, from)| (Some(figures), Some(from)));
+    let collectd = match own.figures.as_ref().and_then(|own| own.intake.clone()) {
+        Some(_) if config.settings.load_reports != LoadReports::Never => {
+            tracing::warn!("key `collectd_in`: the platform's own reports tell loads, so it is not used");
+            None
+        }
+        Some(from) => {
+            let (address, key) = (from.listen, "collectd_in.listen");
+            let socket = intake::bind(address).await;
+            let socket = socket.map_err(|problem| RunError::Listen { key, address, problem })?;
+            let core = wingfold_figures::collectd::Intake::new(from.users, from.secured, from.map);
+            Some(intake::run(socket, core, clock, inbox.clone(), book.clone()))
+        }
+        None => None,
+    };
+    let shown = figures.as_ref().map(|figures| figures.shown.clone());
+    let delays = figures.as_ref().map(|figures| figures.delays.clone());
+    let pulse = figures.as_ref().map(|figures| figures.pulse.clone()).unwrap_or_default();
+    let router = ops::router(book.clone(), dumps.clone(), shown);
+    let door = Door::new(&config, inbox.clone(), book.clone(), router, (delays, pulse));
     let door = Arc::new(door);
     let discovery = discovery::Discovery::new(following, inbox.clone(), book.clone());
     let prober = probe::Prober::new(&config.bounds, inbox.clone(), book.clone());
@@ -148,7 +207,7 @@
     };
     let engine = Engine {
         tables: tables::Tables::new(&config.names.classes),
-        director: Director::new(config.settings, config.seed),
+        director,
         clock,
         discovery: ask,
         prober,
@@ -161,7 +220,11 @@
         calls: 0,
         tap,
         dumps: dumps.clone(),
+        figures,
     };
+    if let (Some(from), Some(figures)) = (intervals, &engine.figures) {
+        tokio::spawn(sink::run(from, sinks, config.name.clone(), config.seed, figures.sinks.clone()));
+    }
     if let Some(known) = config.known {
         inbox.put(inbox::News::List(ListKind::Remembered, known));
     }
@@ -187,18 +250,35 @@
         ended = tokio::spawn(engine.run(intake)) => ended,
         ended = tokio::spawn(discovery.run(asked)) => ended,
         ended = tokio::spawn(accept::serve(listener, door)) => ended,
+        () = or_never(collectd) => Ok(()),
         () = or_never(post.map(|post| async move { post.receive(inbox).await })) => Ok(()),
         () = report => Ok(()),
     };
     Err(RunError::Ended(ended.map_or_else(|error| error.to_string(), |()| "no reason told".into())))
 }
 
+/// What a director starts with besides the platform's configuration.
+#[derive(Debug, Default)]
+pub struct Start {
+    /// Own settings.
+    pub own: Own,
+    /// Where the slowest and the failed of each stage are kept, if they are.
+    pub causes: Option<Causes>,
+}
+
 /// The whole program: sets up the log, reads the configuration (of the file named here, or else by `GW_CONFIG`), serves.
-pub fn main(file: Option<std::path::PathBuf>, own: Own) -> ExitCode {
-    let _log = log::start(&own.log);
+/// `read_own` reads own settings anew at SIGHUP.
+pub fn main(
+    file: Option<std::path::PathBuf>,
+    own: Own,
+    read_own: impl Fn() -> Result<Own, String>,
+) -> ExitCode {
+    let causes = own.figures.as_ref().is_some_and(|figures| figures.causes).then(Causes::default);
+    let _log = log::start(&own.log, causes.clone());
     let read = |first| Config::from_env(file.as_deref(), first);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.map_err(RunError::Start).and_then(|runtime| runtime.block_on(run(own, read))) {
+    let start = Start { own, causes };
+    match runtime.map_err(RunError::Start).and_then(|runtime| runtime.block_on(run(start, read, read_own))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             tracing::error!("{problem}");
--- a/crates/wingfold-node/src/log.rs
+++ b/crates/wingfold-node/src/log.rs
@@ -1,10 +1,13 @@
 //! The log: one line an event, to standard error, through a bounded queue that drops lines when it is full. A log
 //! that nobody reads can't hold the director up.
 
+use crate::causes::{self, Causes};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tracing::Level;
+use tracing::level_filters::LevelFilter;
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::filter::filter_fn;
+use tracing_subscriber::prelude::*;
 use wingfold_settings::own::{Form, Log};
 
 /// Lines that may wait to be written: at a few hundred bytes each, a small part of the memory.
@@ -17,15 +20,19 @@
 
 /// Starts the log; it is written out when what this gives is dropped. Panics go the same way: written straight to
 /// standard error, one could wait for a reader for good.
-pub fn start(log: &Log) -> WorkerGuard {
+pub fn start(log: &Log, causes: Option<Causes>) -> WorkerGuard {
     let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(LINES);
     let (writer, guard) = builder.finish(std::io::stderr());
-    let level = log.level.parse().unwrap_or(Level::INFO);
-    let lines = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(writer);
-    match log.form {
-        Form::Text => lines.init(),
-        Form::Json => lines.json().flatten_event(true).init(),
-    }
+    let level: LevelFilter = log.level.parse().unwrap_or(LevelFilter::INFO);
+    let lines = tracing_subscriber::fmt::layer().with_ansi(false).with_writer(writer);
+    // Spans of stages are for the causes alone: lines need not bear them.
+    let shown = filter_fn(move |metadata| *metadata.level() <= level && metadata.target() != causes::TARGET);
+    let lines = match log.form {
+        Form::Text => lines.with_filter(shown).boxed(),
+        Form::Json => lines.json().flatten_event(true).with_filter(shown).boxed(),
+    };
+    let causes = causes.map(|causes| causes.with_filter(filter_fn(causes::wanted)));
+    tracing_subscriber::registry().with(lines).with(causes).init();
     std::panic::set_hook(Box::new(|panic| tracing::error!("panicked: {}", plain(&panic.to_string()))));
     guard
 }
--- a/crates/wingfold-node/src/ops.rs
+++ b/crates/wingfold-node/src/ops.rs
@@ -2,6 +2,7 @@
 
 use crate::book::Book;
 use crate::door::Door;
+use crate::figures::Shown;
 use crate::recorder::Dumps;
 use axum::extract::State;
 use axum::http::{header, HeaderMap, StatusCode};
@@ -18,14 +19,24 @@
 const HEAD_BYTES: usize = 8 << 10;
 
 /// The pages; `dumps` only where a capture in memory may be asked for.
-pub fn router(book: Arc<Book>, dumps: Option<Dumps>) -> Router {
+pub fn router(book: Arc<Book>, dumps: Option<Dumps>, shown: Option<Shown>) -> Router {
     let pages = Router::new().route("/healthz", get(health)).route("/metrics", get(metrics)).with_state(book);
+    let pages = match shown {
+        None => pages,
+        Some(shown) => pages.merge(Router::new().route("/figures", get(figures)).with_state(shown)),
+    };
     match dumps.filter(Dumps::asked) {
         None => pages,
         Some(dumps) => pages.merge(Router::new().route("/capture/dump", post(dump)).with_state(dumps)),
     }
 }
 
+/// The last interval and what was slow or failed, for `wingfold figures watch`.
+async fn figures(State(shown): State<Shown>) -> impl IntoResponse {
+    let text = serde_json::to_string(&shown.page()).unwrap_or_default();
+    ([(header::CONTENT_TYPE, "application/json")], text)
+}
+
 /// Has the capture in memory written out, for those who know the token. It is answered at once: the disk may be slow.
 async fn dump(State(dumps): State<Dumps>, headers: HeaderMap) -> (StatusCode, String) {
     let token =
--- a/crates/wingfold-node/src/outbox.rs
+++ b/crates/wingfold-node/src/outbox.rs
@@ -1,22 +1,27 @@
 //! Sends: what waits to be written to one connection, bounded by what its reader may leave unread, and the task
 //! that writes it.
 
+use crate::figures::Delays;
 use crate::frame;
 use bytes::Bytes;
 use futures_util::SinkExt;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::io::AsyncWrite;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::Notify;
 use tokio_util::codec::FramedWrite;
 
+/// One frame that waits; the last of an order carries its time.
+type Frame = (Bytes, Option<Instant>);
+
 /// The way to one connection.
 #[derive(Clone, Debug)]
 pub struct Link {
     /// Tells the connections of one party apart.
     pub number: u64,
-    to: UnboundedSender<Bytes>,
+    to: UnboundedSender<Frame>,
     waiting: Arc<AtomicUsize>,
     most: usize,
     end: Arc<Notify>,
@@ -25,25 +30,36 @@
 /// What a link writes.
 #[derive(Debug)]
 pub struct Outbox {
-    from: UnboundedReceiver<Bytes>,
+    from: UnboundedReceiver<Frame>,
     waiting: Arc<AtomicUsize>,
+    delays: Option<Delays>,
 }
 
 /// The reader leaves too much unread.
 #[derive(Debug, PartialEq)]
 pub struct Slow;
 
-/// A link and what it writes; `most` bytes may wait, or one message if that alone is longer.
-pub fn link(number: u64, most: usize) -> (Link, Outbox) {
+/// A link and what it writes; `most` bytes may wait, or one message if that alone is longer. How long orders take to be
+/// written is kept in `delays`.
+pub fn link(number: u64, most: usize, delays: Option<Delays>) -> (Link, Outbox) {
     let (to, from) = unbounded_channel();
     let waiting = Arc::new(AtomicUsize::new(0));
     let link = Link { number, to, waiting: waiting.clone(), most, end: Arc::new(Notify::new()) };
-    (link, Outbox { from, waiting })
+    (link, Outbox { from, waiting, delays })
 }
 
 impl Link {
     /// Queues the frames of one message, all of them or none. Never waits.
     pub fn send(&self, frames: Vec<Bytes>) -> Result<(), Slow> {
+        self.queue(frames, None)
+    }
+
+    /// The same for an order of this time.
+    pub fn order(&self, frames: Vec<Bytes>, ordered: Instant) -> Result<(), Slow> {
+        self.queue(frames, Some(ordered))
+    }
+
+    fn queue(&self, frames: Vec<Bytes>, ordered: Option<Instant>) -> Result<(), Slow> {
         let bytes: usize = frames.iter().map(|frame| frame.len() + frame::HEAD).sum();
         let waiting = self.waiting.load(Ordering::Relaxed);
         if waiting > 0 && waiting + bytes > self.most {
@@ -51,7 +67,9 @@
         }
         self.waiting.fetch_add(bytes, Ordering::Relaxed);
         // A writer that is gone has ended its connection: the reader's end tells of it.
-        frames.into_iter().for_each(|frame| drop(self.to.send(frame)));
+        let last = frames.len().saturating_sub(1);
+        let frames = frames.into_iter().enumerate();
+        frames.for_each(|(at, frame)| drop(self.to.send((frame, ordered.filter(|_| at == last)))));
         Ok(())
     }
 
@@ -70,14 +88,18 @@
     /// Writes until the link is gone or the connection fails. What has gathered goes out at one go.
     pub async fn write(mut self, to: impl AsyncWrite + Unpin) -> std::io::Result<()> {
         let mut framed = FramedWrite::new(to, frame::codec());
-        let mut frames = Vec::new();
+        let (mut frames, mut orders) = (Vec::new(), Vec::new());
         while self.from.recv_many(&mut frames, 64).await > 0 {
-            for frame in frames.drain(..) {
+            for (frame, ordered) in frames.drain(..) {
+                orders.extend(ordered);
                 let bytes = frame.len() + frame::HEAD;
                 framed.feed(frame).await?;
                 self.waiting.fetch_sub(bytes, Ordering::Relaxed);
             }
             SinkExt::<Bytes>::flush(&mut framed).await?;
+            for ordered in orders.drain(..) {
+                self.delays.iter().for_each(|delays| delays.written(ordered));
+            }
         }
         Ok(())
     }
@@ -90,7 +112,7 @@
 
     #[tokio::test]
     async fn a_reader_that_leaves_too_much_unread_is_bounded() {
-        let (link, outbox) = link(1, 100);
+        let (link, outbox) = link(1, 100, None);
         let frame = || vec![Bytes::from(vec![b'x'; 46])];
         assert_eq!(link.send(frame()), Ok(()));
         assert_eq!(link.send(frame()), Ok(()));
@@ -108,7 +130,7 @@
 
     #[tokio::test]
     async fn one_message_longer_than_the_bound_goes_when_nothing_waits() {
-        let (link, _outbox) = link(1, 10);
+        let (link, _outbox) = link(1, 10, None);
         assert_eq!(link.send(vec![Bytes::from(vec![0; 500])]), Ok(()));
         assert_eq!(link.send(vec![Bytes::new()]), Err(Slow));
     }
--- a/crates/wingfold-node/src/party.rs
+++ b/crates/wingfold-node/src/party.rs
@@ -5,25 +5,39 @@
 use crate::incoming::{Ending, Incoming};
 use crate::message::{Inbound, Spoilt};
 use crate::outbox::{Link, Outbox, Slow};
+use crate::stage;
 use tokio::net::tcp::OwnedWriteHalf;
 
 /// Serves until the connection ends; `admit` says what a message means, or what is wrong with it. One that is wrong
-/// is dropped whole: the ones around it are sound.
+/// is dropped whole: the ones around it are sound. A collector's zone is told of every sign of life.
 pub async fn serve(
     door: &Door,
     (mut from, to): (Incoming, OwnedWriteHalf),
     (link, outbox): (&Link, Outbox),
+    collects: Option<&str>,
     admit: impl Fn(Inbound) -> Result<News, Spoilt>,
 ) -> Ending {
     let reads = async {
         loop {
-            let news = match from.next().await {
+            let next = from.next().await;
+            // A collector that says anything lives, whatever is in it.
+            if let (Some(zone), Ok(_)) = (collects, &next) {
+                door.pulse.beat(zone);
+            }
+            let news = match next {
                 Err(ending) => return ending,
                 Ok(Ok(Inbound::Ping)) => match link.send(vec![door.pong.clone()]) {
                     Ok(()) => continue,
                     Err(Slow) => return Ending::Slow,
                 },
-                Ok(message) => message.and_then(&admit),
+                Ok(message) => {
+                    let stage = stage!("admit", failed = tracing::field::Empty).entered();
+                    let news = message.and_then(&admit);
+                    if let Err(spoilt) = &news {
+                        stage.record("failed", tracing::field::debug(spoilt));
+                    }
+                    news
+                }
             };
             match news {
                 Ok(news) => door.inbox.put(news),
--- a/crates/wingfold-node/src/stream.rs
+++ b/crates/wingfold-node/src/stream.rs
@@ -29,7 +29,7 @@
         Ok(zone) if first.id < door.proxies => zone,
         _ => return Ending::Wrong(Spoilt::Name),
     };
-    let (link, outbox) = outbox::link(door.number(), door.bounds.unread);
+    let (link, outbox) = outbox::link(door.number(), door.bounds.unread, door.delays.clone());
     let _leaving = Leaving { proxy, link: link.number, inbox: door.inbox.clone() };
     door.inbox.put(News::Joined(proxy, ZoneId(zone), first.rate, link.clone()));
     door.book.streams_joined_total.one();
@@ -39,5 +39,5 @@
         Inbound::Ack(_) | Inbound::Rate(_) => Err(Spoilt::Name),
         _ => Err(Spoilt::Turn),
     };
-    party::serve(&door, (from, to), (&link, outbox), admit).await
+    party::serve(&door, (from, to), (&link, outbox), None, admit).await
 }
--- a/crates/wingfold-standins/src/lib.rs
+++ b/crates/wingfold-standins/src/lib.rs
@@ -2,6 +2,8 @@
 //! the protocol's published form and nothing more.
 #![forbid(unsafe_code)]
 
+pub mod receivers;
+
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/wingfold/src/cli.rs
+++ b/crates/wingfold/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line: what can be asked, and the exit codes.
 
-use crate::{capture, lab, replay, serve, why};
+use crate::{capture, figures, lab, replay, serve, why};
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 use std::path::PathBuf;
@@ -32,6 +32,7 @@
   wingfold replay /var/lib/wingfold/capture/n3       replay a night, compare every call
   wingfold why /var/lib/wingfold/capture/n3 --at 03:12:05 --host s-5be2a07c
   wingfold capture show /var/lib/wingfold/capture/n3
+  wingfold figures watch 10.0.0.4:8443
   wingfold lab run crates/wingfold-lab/scenarios/example.hcl --seeds 1..20 --out target/lab
   wingfold completions bash > /etc/bash_completion.d/wingfold";
 
@@ -53,6 +54,9 @@
     /// Look at captures, check them, cut them, keep a case of them
     #[command(subcommand)]
     Capture(capture::Capture),
+    /// List figures, or watch a director's
+    #[command(subcommand)]
+    Figures(figures::Figures),
     /// Play scenarios in the emulator
     #[command(subcommand)]
     Lab(lab::Lab),
@@ -84,6 +88,7 @@
         Some(Command::Replay(replay)) => replay.run().into(),
         Some(Command::Why(why)) => why.run().into(),
         Some(Command::Capture(capture)) => capture.run().into(),
+        Some(Command::Figures(figures)) => figures.run().into(),
         Some(Command::Lab(lab)) => lab.run().into(),
         Some(Command::Own(OwnCommand::Check { file })) => match serve::own(Some(&file)) {
             Ok(_) => {
--- a/crates/wingfold/src/main.rs
+++ b/crates/wingfold/src/main.rs
@@ -3,6 +3,7 @@
 
 mod capture;
 mod cli;
+mod figures;
 mod lab;
 mod replay;
 mod say;
--- a/crates/wingfold/src/serve.rs
+++ b/crates/wingfold/src/serve.rs
@@ -35,7 +35,13 @@
                 if self.log_json {
                     own.log.form = Form::Json;
                 }
-                wingfold_node::main(self.config, own)
+                let file = self.own.clone();
+                let form = own.log.form;
+                wingfold_node::main(self.config, own, move || {
+                    let mut own = self::own(file.as_deref())?;
+                    own.log.form = form;
+                    Ok(own)
+                })
             }
             Err(problem) => {
                 eprintln!("{problem}");
--- a/deploy/wingfold.hcl
+++ b/deploy/wingfold.hcl
@@ -37,3 +37,52 @@
   # dump_directory = "/tmp/wingfold-dump"
   # dump_token = "choose-a-long-one-here"
 }
+
+# What the director tells of itself: docs/figures.md has every figure.
+figures {
+  enabled = false
+
+  # Values are made and sent so often, at whole multiples on the world's clock. Whole seconds.
+  # interval = "10s"
+
+  # What every path of Graphite begins with; the director's name follows.
+  # prefix = "wingfold"
+
+  # Keep the slowest and the failed of each stage, for `wingfold figures watch`. It costs some microseconds a call.
+  # causes = false
+}
+
+# Receivers of Graphite's; any number of blocks, each with a name of its own. They may change at SIGHUP.
+# graphite "halls" {
+#   addresses = ["10.0.0.9:2003"]
+#   protocol = "plain"        # lines over TCP; "pickle": lists over TCP; "udp": lines in datagrams
+#   deal = "all"              # "hash": each name goes to one of the addresses, by consistent hashing
+#   settle = "60s"            # with "hash": a lost receiver gets its names back after it was well for so long
+#   tags = false              # labels as tags instead of parts of the path
+#   queue_kb = 1024           # what may wait for each address; the oldest intervals go whole. It counts as memory
+#   connect_timeout = "2s"    # looking the name up included
+#   write_timeout = "10s"     # for one interval; an interval's length if left out. Who takes bytes more slowly is cut off
+#   retry_first = "1s"        # pauses after failures, doubled up to the longest, a quarter of each drawn by chance
+#   retry_longest = "60s"
+# }
+
+# A collectd network listener. Install deploy/wingfold.types.db there.
+# collectd "all" {
+#   address = "10.0.0.8:25826"
+#   packet = 1452
+#   security = "none"         # "sign" or "encrypt", with a user and a file of `user: key` lines that nobody else may read
+#   user = "wingfold"
+#   keys = "/etc/wingfold/collectd.keys"
+# }
+
+# Loads of hosts from collectd, where the platform's reports tell none (settings.report.how = "silent").
+# collectd_in {
+#   enabled = false
+#   listen = "10.0.0.4:25826"
+#   security = "required"     # "none": packets need not be signed or encrypted
+#   keys = "/etc/wingfold/collectd.keys"
+#   host "db1" {              # collectd's name of the machine
+#     is = "s-5be2a07c"       # its id on discovery's list
+#     cores = 3
+#   }
+# }
