--- a/crates/wingfold-figures/src/receiver.rs
+++ b/crates/wingfold-figures/src/receiver.rs
@@ -360,6 +360,34 @@
         assert_eq!(one.counts.sent, 0);
     }
 
+    #[test]
+    fn an_hour_of_a_dead_receiver_costs_no_more_than_its_first_minute() {
+        let mut one = Receiver::new(Rules { most: 100_000, ..Rules::default() }, 3);
+        let (mut now, mut out, mut dials) = (0, Vec::new(), 0);
+        let mut most = [0, 0];
+        for second in 0..3600u64 {
+            now = second * S;
+            out.clear();
+            if second % 10 == 0 {
+                one.take(Micros(now), Input::Interval(second, bytes(9_000)), &mut out);
+            } else {
+                one.take(Micros(now), Input::Tick, &mut out);
+            }
+            // Each dial is refused, or hangs until it is given up on.
+            while let Some(order) = out.pop() {
+                dials += u32::from(order == Order::Dial);
+                if order == Order::Dial && dials % 2 == 0 {
+                    one.take(Micros(now), Input::Down, &mut out);
+                }
+            }
+            let half = usize::from(second >= 120);
+            most[half] = most[half].max(one.waiting());
+        }
+        assert!(most[1] <= most[0] && most[0] <= 100_000, "{most:?}");
+        assert!((60..130).contains(&dials), "a pause of a minute at most: {dials} dials");
+        assert_eq!(one.counts.dropped[Dropped::Full as usize], 360 - one.queue.len() as u64, "at {now}");
+    }
+
     proptest! {
         #[test]
         fn whatever_a_receiver_does_its_queue_is_bounded_and_intervals_go_whole_and_in_order(
--- a/crates/wingfold-node/src/sink.rs
+++ b/crates/wingfold-node/src/sink.rs
@@ -263,6 +263,15 @@
 
 /// An address as a socket's. A name is looked up aside, one look-up at a time: one that hangs holds up nothing else.
 async fn resolve(address: &str, looking: &Looking) -> io::Result<SocketAddr> {
+    let system = |name: String| std::net::ToSocketAddrs::to_socket_addrs(&name).map(|mut all| all.next());
+    resolve_by(address, looking, system).await
+}
+
+async fn resolve_by(
+    address: &str,
+    looking: &Looking,
+    look_up: impl FnOnce(String) -> io::Result<Option<SocketAddr>> + Send + 'static,
+) -> io::Result<SocketAddr> {
     if let Ok(address) = address.parse() {
         return Ok(address);
     }
@@ -271,7 +280,7 @@
     }
     let (name, looking) = (address.to_string(), looking.clone());
     let found = tokio::task::spawn_blocking(move || {
-        let found = std::net::ToSocketAddrs::to_socket_addrs(&name).map(|mut all| all.next());
+        let found = look_up(name);
         looking.store(false, Ordering::Relaxed);
         found
     });
@@ -446,3 +455,35 @@
     socket.writable().await?;
     Ok(socket)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::sync::mpsc;
+
+    #[tokio::test]
+    async fn a_look_up_that_hangs_holds_up_nothing_and_is_not_asked_again_meanwhile() {
+        let looking = Looking::default();
+        let (free, wait) = mpsc::channel::<()>();
+        let hangs = move |_: String| {
+            let _ = wait.recv();
+            Ok(Some(SocketAddr::from(([127, 0, 0, 1], 9))))
+        };
+        let first = resolve_by("graphite.example:2003", &looking, hangs);
+        let first = tokio::time::timeout(Duration::from_millis(50), first).await;
+        assert!(first.is_err(), "the core gives the connection up after its own time");
+        for _ in 0..100 {
+            let never = |_: String| -> io::Result<Option<SocketAddr>> { panic!("a second look-up") };
+            let again = resolve_by("graphite.example:2003", &looking, never).await.unwrap_err();
+            assert!(again.to_string().contains("has not ended"), "{again}");
+        }
+        // An address needs none.
+        assert!(resolve("127.0.0.1:9", &looking).await.is_ok());
+        free.send(()).unwrap();
+        while looking.load(Ordering::Relaxed) {
+            tokio::task::yield_now().await;
+        }
+        let back = resolve_by("graphite.example:2003", &looking, |_| Ok(None)).await.unwrap_err();
+        assert!(back.to_string().contains("no address"), "{back}");
+    }
+}
