Count the channel's lines by proxies' answers to marks instead of an assumed pace

Ruled out: the node writes no more lines than the module counts (lines_out of its figures against the module's sum); no order landed late together (the calls' times lie 0.25 s apart); streams ended by the director: none.

At fault: `reconcile` in brain.rs let what waits fall by CHANNEL_PACE (half) of the told pace, whatever the channel did.

Change: the account holds every line that was ordered and that no proxy's word shows to have left. Answers carry a mark once 2 % of what may wait went unmarked; the answer to a mark proves its own message and all earlier answers gone. Where no word comes at all a mark is given up at a quarter of the told pace. The same words tell the channel's pace, and orders are held back in the director, where drains overtake, instead of in the channel: at most two seconds of its present pace and the way. Tables go in the order of their last message, so that a short channel starves none, and in a crowd ordinary changes no longer use the joiners' part. The limit on messages to one proxy outlasts its streams (it began anew with each joining). The node keeps marks in the order of their setting, at most 1,024 a stream.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -68,8 +68,17 @@
 /// failure none is ordered, not even where it would be safe: the second try comes after the aim has passed,
 /// and doubles the work just when hosts are short of it.
 const TRY_AGAIN: Retry = Retry::OnProof;
-/// The channel is taken to run at this share of its usual pace: slow days are not announced.
-const CHANNEL_PACE: f64 = 0.5;
+/// What waits in the channel is counted by proxies' words, since slow days are not announced: answers are
+/// marked once so much went unmarked. Where no word comes any more a mark's lines count as gone when the
+/// channel would have sent them at this share of its usual pace, and a second after they would have arrived.
+const UNMARKED: f64 = 0.02;
+const CHANNEL_PACE: f64 = 0.25;
+const WORDLESS_S: f64 = 1.0;
+/// Orders are held back here, where urgent ones overtake, and not in the channel, where none does: what it
+/// sends in this time, beyond the way, may wait there, however much the rules allow. And what must have
+/// waited before a message for its time to tell the pace: less is lost in the chance of its way.
+const AHEAD_S: f64 = 2.0;
+const PACE_S: f64 = 0.25;
 /// Time between two looks at the levels and, where probes tell the load, between two probes of a host; the
 /// longest time between two looks at all else.
 const LEVEL_S: f64 = 1.0;
@@ -162,9 +171,14 @@
             Event::ListMoved => (self.watching, self.ask_at, self.urgent) = (false, self.now, true),
             Event::Joined(id, zone, rate) => {
                 self.zones.entry(zone.clone()).or_default();
-                self.proxies.insert(*id, Proxy::new(zone, rate.max(0.01)));
+                // The limit on messages to one proxy outlasts its streams.
+                let before = self.proxies.remove(id).map(|proxy| proxy.sent).or(self.parted.remove(id));
+                self.proxies.insert(*id, Proxy::new(zone, rate.max(0.01), before.unwrap_or_default()));
+            }
+            Event::Left(id) => {
+                let sent = self.proxies.remove(id).map(|proxy| proxy.sent).filter(|sent| !sent.is_empty());
+                self.parted.extend(sent.map(|sent| (*id, sent)));
             }
-            Event::Left(proxy) => drop(self.proxies.remove(proxy)),
             Event::Heard(zone, host, sums, mean, load) => {
                 self.heard(zone, host, *sums, *mean);
                 self.loaded(host, load);
@@ -178,7 +192,16 @@
                     *usage += 0.5 * (rate - *usage);
                 }
             }
-            Event::Timer(_) | Event::Peer(..) | Event::Applied(..) | Event::Slice => {}
+            Event::Applied(proxy, mark, took) => {
+                // What waited before it, over its time without the way, is the channel's pace.
+                let usual = self.set.lines_per_s;
+                let waited = self.channel.answered(self.now, *proxy, *mark);
+                let took = (took.secs() - self.set.push_delay.secs()).max(0.0);
+                if let Some(lines) = waited.filter(|lines| *lines > PACE_S * self.pace()) {
+                    self.channel.pace = self.pace() + 0.1 * ((lines / took).min(usual) - self.pace());
+                }
+            }
+            Event::Timer(_) | Event::Peer(..) | Event::Slice => {}
         }
     }
 
@@ -656,98 +679,139 @@
     }
 
     fn reconcile(&mut self, zones: &mut BTreeMap<ZoneId, Zone>, out: &mut Vec<Action>) {
-        let pace = CHANNEL_PACE * self.set.lines_per_s;
-        self.queued = (self.queued - pace * self.now.since(self.queued_at)).max(0.0);
-        self.queued_at = self.now;
+        // Marks that nobody answers: all who had them are gone, or their words are lost.
+        let due = self.set.push_delay_max.secs() + WORDLESS_S;
+        let due = |m: &Marked| due + m.open() / (CHANNEL_PACE * self.set.lines_per_s);
+        let silent = |m: &&Marked| self.now.since(self.channel.heard_at.max(m.at)) > due(m);
+        if self.channel.marks.front().filter(silent).is_some() {
+            self.channel.give_up(self.now);
+        }
+        // Who was sent nothing for longest goes first: where the channel is short none must wait for ever.
+        let mut turns: Vec<(Micros, ZoneId, usize)> = Vec::new();
+        let mut shared: BTreeMap<ZoneId, Shared> = BTreeMap::new();
+        for (name, zone) in zones.iter() {
+            let slots = zone.slots.iter().enumerate();
+            turns.extend(slots.map(|(at, slot)| (slot.sent_at, name.clone(), at)));
+            shared.insert(name.clone(), self.shared(name, zone));
+        }
+        turns.sort();
+        for (_, name, at) in turns {
+            let Some(zone) = zones.get_mut(&name) else { continue };
+            (0..self.groups.len()).for_each(|group| self.update(zone, &shared[&name], group, at, out));
+        }
         for (name, zone) in zones.iter_mut() {
-            (0..self.groups.len()).for_each(|group| self.update(name, zone, group, out));
+            if std::mem::take(&mut zone.changed) {
+                zone.expect(&self.work(name, zone, 1e-3));
+            }
         }
         self.bind(zones, out);
-        self.touched.clear();
+        let sending = std::mem::take(&mut self.sending);
+        let unmarked = self.channel.unmarked + sending.values().sum::<f64>();
+        let marked = unmarked > UNMARKED * self.ahead(DRAIN) && !sending.is_empty();
+        if marked {
+            self.channel.number = (self.channel.number + 1) % 65_536;
+            out.push(Action::Mark(false, self.channel.number));
+        }
+        self.channel.ordered(self.now, sending, marked);
+    }
+
+    /// Lines a second that the channel sends at present.
+    fn pace(&self) -> f64 {
+        if self.channel.pace > 0.0 {
+            self.channel.pace
+        } else {
+            self.set.lines_per_s
+        }
+    }
+
+    /// Lines that may be under way for orders of an urgency: those waiting in the channel and those past it.
+    fn ahead(&self, (queue, _): Urgency) -> f64 {
+        let pace = self.pace();
+        (queue * self.set.queue_max).min(pace * (queue * AHEAD_S + self.set.push_delay.secs()))
     }
 
     /// Whether orders of `lines` lines to each of some proxies may go now.
-    fn room(&self, (queue, messages): Urgency, lines: usize, users: &[ProxyId]) -> bool {
-        let most = messages * self.set.messages_max as f64;
+    fn room(&self, urgency: Urgency, lines: usize, users: &[ProxyId]) -> bool {
+        let most = urgency.1 * self.set.messages_max as f64;
         let recent = |at: &&Micros| self.now.since(**at) <= self.set.messages_over.secs();
         let free = |id: &ProxyId| {
             let sent = || self.proxies[id].sent.iter().filter(recent).count() as f64;
-            most == 0.0 || self.touched.contains(id) || sent() + 1.0 <= most
+            most == 0.0 || self.sending.contains_key(id) || sent() + 1.0 <= most
         };
-        let lines = (lines as f64 + self.set.message_overhead) * users.len() as f64;
-        self.queued + lines <= queue * self.set.queue_max && users.iter().all(free)
+        let lines = (lines as f64 + self.head()) * users.len() as f64;
+        self.channel.queued + lines <= self.ahead(urgency) && users.iter().all(free)
     }
 
-    /// Sends the differences of a zone's tables for a group of classes, each table's if the most urgent may
-    /// go now, and then as many new spares as there is room for.
-    fn update(&mut self, name: &ZoneId, zone: &mut Zone, group: usize, out: &mut Vec<Action>) {
-        let usable = self.usable(name, zone, group);
-        let own = (0..self.set.classes.len()).filter(|at| self.groups[group].mask >> at & 1 == 1);
-        let wanted: Vec<_> = own.map(|at| (ClassId(at), self.level(name, at))).collect();
+    /// What the tables of a zone have in common.
+    fn shared(&self, name: &ZoneId, zone: &Zone) -> Shared {
+        let usable = (0..self.groups.len()).map(|group| self.usable(name, zone, group)).collect();
+        let levels = (0..self.set.classes.len()).map(|at| self.level(name, at)).collect();
         let mut users = vec![Vec::new(); zone.slots.len()];
         let bound = self.proxies_of(name).filter_map(|(id, p)| Some((*id, p.slot?)));
         bound.for_each(|(id, slot)| users[slot].push(id));
+        Shared { usable, levels, users, waiting: self.proxies.values().filter(|p| p.moves).count() }
+    }
+
+    /// Sends the differences of a table for a group of classes if the most urgent may go now, and then as
+    /// many new spares as there is room for.
+    fn update(&mut self, zone: &mut Zone, shared: &Shared, group: usize, at: usize, out: &mut Vec<Action>) {
+        let (usable, users, waiting) = (&shared.usable[group], &shared.users[at], shared.waiting);
+        let own = (0..self.set.classes.len()).filter(|at| self.groups[group].mask >> at & 1 == 1);
+        let wanted: Vec<_> = own.map(|at| (ClassId(at), shared.levels[at])).collect();
         // Spares are a luxury: joiners must not wait for them, nor may they cost connections that run short.
-        let waiting = self.proxies.values().filter(|p| p.moves).count();
-        let joins = self.queued + (waiting * usable.len() * self.groups.len()) as f64;
-        let crowded = waiting > 0 && joins > ORDINARY.0 * self.set.queue_max;
-        for (at, users) in users.into_iter().enumerate() {
-            let table = &zone.slots[at].tables[group];
-            let (lines, mut spares, full) = self.plan(zone, &usable, &zone.slots[at], table.full);
-            spares.retain(|_, _| !crowded && zone.uses <= USES);
-            let held = table.lines.keys().filter_map(|id| Some((id.clone(), spares.remove(id)?)));
-            let all: Lines = lines.clone().into_iter().chain(held).collect();
-            let (mut changes, mut levels) = table.differences(&all, &wanted, SAME);
-            let urgent = changes.iter().map(|(id, to)| self.urgency(zone, table, id, *to));
-            let least = if crowded { BIND } else { ORDINARY };
-            let urgency = urgent.fold(least, |a, b| if b > a { b } else { a });
-            let (mut anew, mut count) = (false, changes.len() + levels.len());
-            // A table that none holds yet costs nothing: it must be whole before a proxy is bound.
-            let short = 1 + lines.len() + wanted.len();
-            let shorter = short < count && (crowded || urgency == DRAIN);
-            let tight = shorter || !self.room(urgency, count, &users);
-            if count > 0 && !users.is_empty() && tight {
-                // Where there is no room for all, a table is laid anew without spares if that is shorter;
-                // else what is urgent must not wait for the rest, but for new lines: a table was left empty.
-                anew = short < count && self.room(urgency, short, &users);
-                if anew {
-                    (changes, levels, count) = (lines.into_iter().collect(), wanted.clone(), short);
-                } else {
-                    let now = |id: &HostId, to| self.urgency(zone, table, id, to) == urgency;
-                    changes.retain(|(id, to)| !table.lines.contains_key(id) || now(id, *to));
-                    (levels, count) = (Vec::new(), changes.len());
-                    if urgency == ORDINARY || !self.room(urgency, count, &users) {
-                        continue;
-                    }
-                }
-            }
-            if anew {
-                zone.lean_until = self.after(COOLDOWN_S);
-            } else if waiting == 0 && self.now >= zone.lean_until && self.room(LUXURY, count + 1, &users) {
-                let room = (LUXURY.0 * self.set.queue_max - self.queued) / users.len().max(1) as f64;
-                let most = (room - self.set.message_overhead) as usize;
-                changes.extend(spares.into_iter().take(most.saturating_sub(count)));
-                count = changes.len() + levels.len();
-            }
-            let table = &mut zone.slots[at].tables[group];
-            table.full = full;
+        let joins = self.channel.queued + (waiting * usable.len() * self.groups.len()) as f64;
+        let crowded = waiting > 0 && joins > self.ahead(ORDINARY);
+        let table = &zone.slots[at].tables[group];
+        let (lines, mut spares, full) = self.plan(zone, usable, &zone.slots[at], table.full);
+        spares.retain(|_, _| !crowded && zone.uses <= USES);
+        let held = table.lines.keys().filter_map(|id| Some((id.clone(), spares.remove(id)?)));
+        let all: Lines = lines.clone().into_iter().chain(held).collect();
+        let (mut changes, mut levels) = table.differences(&all, &wanted, SAME);
+        let urgent = changes.iter().map(|(id, to)| self.urgency(zone, table, id, *to));
+        let urgency = urgent.fold(ORDINARY, |a, b| if b > a { b } else { a });
+        let (mut anew, mut count) = (false, changes.len() + levels.len());
+        // A table that none holds yet costs nothing: it must be whole before a proxy is bound.
+        let short = 1 + lines.len() + wanted.len();
+        let shorter = short < count && (crowded || urgency == DRAIN);
+        let tight = shorter || !self.room(urgency, count, users);
+        if count > 0 && !users.is_empty() && tight {
+            // Where there is no room for all, a table is laid anew without spares if that is shorter;
+            // else what is urgent must not wait for the rest, but for new lines: a table was left empty.
+            anew = short < count && self.room(urgency, short, users);
             if anew {
-                out.push(Action::ClearTable(table.id));
-                table.clear();
-            }
-            out.extend(changes.iter().map(|(id, weight)| Action::SetLine(table.id, id.clone(), *weight)));
-            let admit = |(class, level): &(ClassId, f64)| {
-                Action::Admit(Some(table.id), ClassMask(1 << class.0), *level, TRY_AGAIN)
-            };
-            out.extend(levels.iter().map(admit));
-            table.ordered(changes, levels);
-            if count > 0 {
-                self.touch(count, &users);
-                zone.changed = true;
+                (changes, levels, count) = (lines.into_iter().collect(), wanted.clone(), short);
+            } else {
+                let now = |id: &HostId, to| self.urgency(zone, table, id, to) == urgency;
+                changes.retain(|(id, to)| !table.lines.contains_key(id) || now(id, *to));
+                (levels, count) = (Vec::new(), changes.len());
+                if urgency == ORDINARY || !self.room(urgency, count, users) {
+                    return;
+                }
             }
         }
-        if group == 0 && std::mem::take(&mut zone.changed) {
-            zone.expect(&self.work(name, zone, 1e-3));
+        if anew {
+            zone.lean_until = self.after(COOLDOWN_S);
+        } else if waiting == 0 && self.now >= zone.lean_until && self.room(LUXURY, count + 1, users) {
+            let room = (self.ahead(LUXURY) - self.channel.queued) / users.len().max(1) as f64;
+            let most = (room - self.head()) as usize;
+            changes.extend(spares.into_iter().take(most.saturating_sub(count)));
+            count = changes.len() + levels.len();
+        }
+        let table = &mut zone.slots[at].tables[group];
+        table.full = full;
+        if anew {
+            out.push(Action::ClearTable(table.id));
+            table.clear();
+        }
+        out.extend(changes.iter().map(|(id, weight)| Action::SetLine(table.id, id.clone(), *weight)));
+        let admit = |(class, level): &(ClassId, f64)| {
+            Action::Admit(Some(table.id), ClassMask(1 << class.0), *level, TRY_AGAIN)
+        };
+        out.extend(levels.iter().map(admit));
+        table.ordered(changes, levels);
+        if count > 0 {
+            self.touch(count, users);
+            (zone.changed, zone.slots[at].sent_at) = (true, self.now);
         }
     }
 
--- a/crates/wingfold-director/src/checkpoint.rs
+++ b/crates/wingfold-director/src/checkpoint.rs
@@ -149,7 +149,7 @@
         let ids: BTreeSet<u32> = tables().map(|table| table.id.0).collect();
         let count = tables().count();
         let clocks =
-            [self.now, self.next_tick, self.next_round, self.next_level, self.queued_at, self.ask_at];
+            [self.now, self.next_tick, self.next_round, self.next_level, self.channel.heard_at, self.ask_at];
         let started = self.fleet.values().all(|host| host.entry.started.is_none_or(|at| time(&at)));
         let sound = [
             (clocks.iter().all(time) && started, "a time beyond all bounds"),
@@ -184,7 +184,11 @@
             ),
             (self.zones.values().all(|zone| zone.confirmed < 1 << 16), "a count beyond all bounds"),
             (self.failures < 1 << 20, "a count beyond all bounds"),
-            (self.touched.is_empty(), "a call that has not ended"),
+            (self.sending.is_empty(), "a call that has not ended"),
+            (
+                self.channel.marks.iter().all(|mark| time(&mark.at) && mark.open().is_finite()),
+                "a mark that is none",
+            ),
         ];
         sound.into_iter().find(|(holds, _)| !holds).map_or(Ok(()), |(_, what)| Err(what))
     }
--- a/crates/wingfold-director/src/inspect.rs
+++ b/crates/wingfold-director/src/inspect.rs
@@ -152,7 +152,7 @@
             latency_ms: self.latency,
             load: self.load,
             admitted: self.admitted,
-            queued: self.queued,
+            queued: self.channel.queued,
             hosts: self.fleet.len(),
             proxies: self.proxies.len(),
         }
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -103,6 +103,9 @@
     pub(crate) tables: Vec<Table>,
     pub(crate) start: f64,
     pub(crate) length: f64,
+    /// When its proxies were last sent a change.
+    #[serde(default)]
+    pub(crate) sent_at: Micros,
 }
 
 /// A host as a table may use it: its weight there, the factors on that, its place on the ring.
@@ -116,6 +119,15 @@
     pub(crate) place: f64,
 }
 
+/// What the tables of a zone have in common: usable hosts by group, levels by class, bound proxies by slot, and how many
+/// proxies of all zones wait to be bound.
+pub(crate) struct Shared {
+    pub(crate) usable: Vec<Vec<Line>>,
+    pub(crate) levels: Vec<f64>,
+    pub(crate) users: Vec<Vec<ProxyId>>,
+    pub(crate) waiting: usize,
+}
+
 /// Lines and levels of a table that are to be ordered.
 pub(crate) type Changes = (Vec<(HostId, f64)>, Vec<(ClassId, f64)>);
 pub(crate) type Lines = BTreeMap<HostId, f64>;
@@ -156,6 +168,37 @@
     pub(crate) told_at: Micros,
 }
 
+/// Lines that were ordered and that no proxy's word shows to have left the channel: never less than what waits there,
+/// however slow it is, since messages leave it one after the other.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct Channel {
+    /// All of them, those of the present answer too.
+    pub(crate) queued: f64,
+    /// Those ordered since the last mark.
+    pub(crate) unmarked: f64,
+    /// Marks that some proxies have not answered, oldest first, and the number of the last.
+    pub(crate) marks: VecDeque<Marked>,
+    pub(crate) number: u64,
+    /// When a mark was last answered.
+    pub(crate) heard_at: Micros,
+    /// Lines a second that it sends, as far as answers show; 0: none has shown it.
+    pub(crate) pace: f64,
+}
+
+/// One answer's messages, each with a mark that its proxy answers once it has applied it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct Marked {
+    pub(crate) number: u64,
+    pub(crate) at: Micros,
+    /// Lines of the answers between the mark before and this one, and all that waited with its own.
+    pub(crate) before: f64,
+    pub(crate) queued: f64,
+    /// Lines of its own messages, by proxies that have not answered.
+    pub(crate) lines: BTreeMap<ProxyId, f64>,
+}
+
 /// One director's decisions.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -182,10 +225,11 @@
     pub(crate) load: f64,
     /// All work that is asked for, in units of listed weight.
     pub(crate) demand: f64,
-    /// Proxies that this answer sends a message, and lines that wait in the channel, as modelled.
-    pub(crate) touched: BTreeSet<ProxyId>,
-    pub(crate) queued: f64,
-    pub(crate) queued_at: Micros,
+    /// Proxies that this answer sends a message, with its lines.
+    pub(crate) sending: BTreeMap<ProxyId, f64>,
+    pub(crate) channel: Channel,
+    /// When messages went to proxies that have left since: the limit on them goes on.
+    pub(crate) parted: BTreeMap<ProxyId, VecDeque<Micros>>,
     pub(crate) next_table: u32,
     /// The list has news that cannot wait for the next look.
     pub(crate) urgent: bool,
@@ -196,10 +240,54 @@
     pub(crate) notes: Vec<String>,
 }
 
+impl Marked {
+    /// Lines that it speaks of and that are not known to have left.
+    pub(crate) fn open(&self) -> f64 {
+        self.before + self.lines.values().sum::<f64>()
+    }
+}
+
+impl Channel {
+    /// Books one answer's messages, counted as they were ordered; with `marked` each of them carries a mark of this
+    /// answer's own.
+    pub(crate) fn ordered(&mut self, now: Micros, messages: BTreeMap<ProxyId, f64>, marked: bool) {
+        if marked {
+            let before = std::mem::take(&mut self.unmarked);
+            let (number, queued) = (self.number, self.queued);
+            self.marks.push_back(Marked { number, at: now, before, queued, lines: messages });
+        } else {
+            self.unmarked += messages.values().sum::<f64>();
+        }
+    }
+
+    /// A proxy has applied a mark: its message has left the channel, and all of earlier answers went before it. Gives
+    /// what waited when it was ordered, up to its own message.
+    pub(crate) fn answered(&mut self, now: Micros, proxy: ProxyId, number: u64) -> Option<f64> {
+        let at = self.marks.iter().position(|mark| mark.number == number)?;
+        let mut left: f64 = self.marks.drain(..at).map(|mark| mark.open()).sum();
+        let mark = &mut self.marks[0];
+        // Messages of one answer go in the order of their proxies.
+        let behind: f64 = mark.lines.range(proxy..).skip(1).map(|(_, lines)| lines).sum();
+        let waited = mark.queued - behind;
+        left += std::mem::take(&mut mark.before) + mark.lines.remove(&proxy).unwrap_or(0.0);
+        if mark.lines.is_empty() {
+            self.marks.pop_front();
+        }
+        (self.queued, self.heard_at) = ((self.queued - left).max(0.0), now);
+        Some(waited)
+    }
+
+    /// Counts the oldest mark's lines as gone, unanswered.
+    pub(crate) fn give_up(&mut self, now: Micros) {
+        let left = self.marks.pop_front().map_or(0.0, |mark| mark.open());
+        (self.queued, self.heard_at) = ((self.queued - left).max(0.0), now);
+    }
+}
+
 impl Proxy {
-    /// One that has just joined.
-    pub(crate) fn new(zone: &ZoneId, rate: f64) -> Proxy {
-        let (sent, usage) = (VecDeque::new(), BTreeMap::new());
+    /// One that has just joined; `sent` are messages of its earlier streams.
+    pub(crate) fn new(zone: &ZoneId, rate: f64, sent: VecDeque<Micros>) -> Proxy {
+        let usage = BTreeMap::new();
         Proxy { zone: zone.clone(), rate, slot: None, moves: true, sent, usage, told_at: Micros(0) }
     }
 }
@@ -280,7 +368,7 @@
     pub(crate) fn new(first: u32, groups: usize) -> Slot {
         let ids = (first..).take(groups).map(TableId);
         let tables = ids.map(|id| Table { id, ..Table::default() }).collect();
-        Slot { tables, start: 0.0, length: 0.0 }
+        Slot { tables, start: 0.0, length: 0.0, sent_at: Micros(0) }
     }
 }
 
@@ -425,12 +513,20 @@
         }
     }
 
+    /// Lines that a message counts besides its own: its head, and a mark if it has one.
+    pub(crate) fn head(&self) -> f64 {
+        self.set.message_overhead + 1.0
+    }
+
     /// Counts what goes to some proxies: all that one answer sends a proxy is one message.
     pub(crate) fn touch(&mut self, lines: usize, users: &[ProxyId]) {
+        let head = self.head();
         for id in users {
-            self.queued += lines as f64;
-            let Some(proxy) = self.proxies.get_mut(id).filter(|_| self.touched.insert(*id)) else { continue };
-            self.queued += self.set.message_overhead;
+            let first = !self.sending.contains_key(id);
+            let counted = lines as f64 + if first { head } else { 0.0 };
+            *self.sending.entry(*id).or_default() += counted;
+            self.channel.queued += counted;
+            let Some(proxy) = self.proxies.get_mut(id).filter(|_| first) else { continue };
             proxy.sent.push_back(self.now);
             proxy.sent.drain(..proxy.sent.len().saturating_sub(self.set.messages_max as usize));
         }
--- a/crates/wingfold-director/tests/common/mod.rs
+++ b/crates/wingfold-director/tests/common/mod.rs
@@ -89,6 +89,9 @@
     pub levels: BTreeMap<(TableId, u64), (f64, Retry)>,
     pub binds: Vec<(ProxyId, TableId, ClassMask)>,
     pub actions: Vec<(f64, Action)>,
+    /// Marks that the proxies bound when they were set answer with the next events, unless no word comes.
+    pub marks: Vec<u64>,
+    pub wordless: bool,
 }
 
 impl World {
@@ -100,6 +103,8 @@
             levels: BTreeMap::new(),
             binds: Vec::new(),
             actions: Vec::new(),
+            marks: Vec::new(),
+            wordless: false,
         }
     }
 
@@ -117,9 +122,14 @@
     /// Hands events over now; returns what was ordered.
     pub fn send(&mut self, events: &[Event]) -> Vec<Action> {
         let mut out = Vec::new();
-        self.director.handle(at(self.now), events, &mut out);
+        let marks = std::mem::take(&mut self.marks);
+        let answers = marks.iter().flat_map(|mark| self.binds.iter().map(|bind| (bind.0, *mark)));
+        let answers = answers.map(|(proxy, mark)| Event::Applied(proxy, mark, at(0.25)));
+        let events: Vec<Event> = answers.chain(events.iter().cloned()).collect();
+        self.director.handle(at(self.now), &events, &mut out);
         for action in &out {
             match action {
+                Action::Mark(_, number) if !self.wordless => self.marks.push(*number),
                 Action::SetLine(table, host, weight) if *weight > 0.0 => {
                     self.tables.entry(*table).or_default().insert(host.clone(), *weight);
                 }
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -330,6 +330,7 @@
     let mut set = settings();
     (set.lines_per_s, set.queue_max) = (100.0, 300.0);
     let mut world = World::new(set.clone());
+    world.wordless = true;
     world.send(&[Event::List(ListKind::Remembered, fleet(20))]);
     let join =
         |n: u32| Event::Joined(ProxyId(n), zone(if n.is_multiple_of(2) { "east" } else { "west" }), 1.0);
--- a/crates/wingfold-lab/src/world.rs
+++ b/crates/wingfold-lab/src/world.rs
@@ -878,14 +878,25 @@
             }
         }
         cost.retain(|proxy, _| self.proxies[*proxy].director == Some(at));
+        let marks = actions.iter().filter_map(|action| match action {
+            Action::Mark(_, number) => Some(*number),
+            _ => None,
+        });
+        let marks: Vec<u64> = marks.collect();
         for (proxy, lines) in cost {
-            self.message(at, proxy, lines);
+            let arrives = self.message(at, proxy, lines + marks.len());
+            let took = Micros(arrives.0 - self.now.0);
+            let answers = marks.iter().map(|mark| Event::Applied(ProxyId(proxy as u32), *mark, took));
+            let answers: Vec<Event> = answers.collect();
+            if !answers.is_empty() {
+                self.at(Micros(arrives.0 + 2_000), Happens::Deliver(at, life, answers));
+            }
         }
         words.into_iter().for_each(|(to, word)| self.word(at, to, word));
     }
 
-    /// Sends a proxy all that it goes by now, as one message of so many lines.
-    fn message(&mut self, at: usize, proxy: usize, lines: usize) {
+    /// Sends a proxy all that it goes by now, as one message of so many lines; gives when that arrives.
+    fn message(&mut self, at: usize, proxy: usize, lines: usize) -> Micros {
         let set = &self.plan.settings;
         let mean = set.push_delay.secs().max(1e-6);
         let delay = Exp::new(1.0 / mean).expect("the mean is above 0").sample(&mut self.chance);
@@ -915,6 +926,7 @@
         let rules = (0..self.plan.loads.len()).map(rule).collect();
         let stream = known.stream;
         self.at(arrives, Happens::Orders(proxy, stream, rules));
+        arrives
     }
 
     // ---- streams ----
--- a/crates/wingfold-node/src/tables.rs
+++ b/crates/wingfold-node/src/tables.rs
@@ -9,7 +9,7 @@
 mod tests;
 
 use crate::message::{Admit, Config};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use wingfold_director::interface::{Action, ClassMask, HostId, ProxyId, Retry, TableId};
 use wingfold_settings::retry_number;
@@ -17,6 +17,8 @@
 /// Bytes of lines in one part, well under the largest frame, and what a line takes besides its host's name.
 const PART_BYTES: usize = 1 << 19;
 const LINE_BYTES: usize = 32;
+/// Marks that one stream may leave unanswered: far more than are under way at once, far fewer than their numbers.
+const MOST_MARKS: usize = 1024;
 
 type Lines = BTreeMap<HostId, f64>;
 type Level = (f64, Retry);
@@ -61,8 +63,8 @@
     levels: Vec<Option<Level>>,
     out: BTreeSet<HostId>,
     back: BTreeSet<HostId>,
-    /// Marks that were set and not yet answered.
-    marks: BTreeSet<u64>,
+    /// Marks that were set and not yet answered, in the order of their setting: their numbers begin anew at times.
+    marks: VecDeque<u64>,
 }
 
 /// One answer's orders for one proxy.
@@ -141,9 +143,9 @@
     /// A proxy says that it has applied all up to a mark: whether that mark waits for an answer. Those before it do
     /// no more.
     pub fn answered(&mut self, proxy: ProxyId, mark: u64) -> bool {
-        let marks = self.streams.get_mut(&proxy).map(|stream| &mut stream.marks);
-        let Some(marks) = marks.filter(|marks| marks.contains(&mark)) else { return false };
-        marks.retain(|other| *other > mark);
+        let Some(marks) = self.streams.get_mut(&proxy).map(|stream| &mut stream.marks) else { return false };
+        let Some(at) = marks.iter().position(|other| *other == mark) else { return false };
+        marks.drain(..=at).for_each(drop);
         true
     }
 
@@ -257,7 +259,11 @@
         self.level_parts(stream, &mut parts);
         self.out_parts(proxy, stream, &mut parts);
         for (_, number) in &answer.marks {
-            stream.marks.insert(*number);
+            // A proxy that answers none keeps few: the oldest can tell nothing any more.
+            if stream.marks.len() >= MOST_MARKS {
+                stream.marks.pop_front();
+            }
+            stream.marks.push_back(*number);
             match parts.last_mut() {
                 Some(last) if last.ticket.is_none() => last.ticket = Some(*number),
                 _ => parts.push(Config { ticket: Some(*number), ..Config::default() }),
