Let joiners and tables in use take turns, and mend caps and tightening for many small relays

Ordinary changes starved while a crowd joined. `update` ran over all tables before `bind` saw the channel. Now who waited longer goes first, tables in use by their last message, joiners by their joining; after a quarter of the drain grace joiners go before all.

At fault: `tighten` took the median of the few hosts heard of so far for a loss common to all, and a load nobody had told for time to spare. Now a fifth of the hosts must have been heard of, and the load. Test in safety.rs.

Relays get 0.2 to 0.9 requests a second each here; a cap at the mean rate refuses every second one that comes by chance right after another. `even_cap` takes requests as coming evenly; now it counts what a cap lets through of a Poisson stream. Test in state.rs.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -31,6 +31,8 @@
 /// row counts: a host that still answers is the ranking's affair, and what all hosts lose is overload.
 const OUT_LOST: f64 = 3.0;
 const OUT_CHANCE: f64 = 1e-3;
+/// Share of the hosts that must have been heard of for a loss to be common.
+const TOLD_OF: f64 = 0.2;
 /// Median loss from which the fleet as a whole is in trouble: then no host is a laggard.
 const COMMON_LOSS: f64 = 0.1;
 /// Tries expected of a host without a line that count as silence (chance leaves 1 in 1000), if the other
@@ -173,7 +175,8 @@
                 self.zones.entry(zone.clone()).or_default();
                 // The limit on messages to one proxy outlasts its streams.
                 let before = self.proxies.remove(id).map(|proxy| proxy.sent).or(self.parted.remove(id));
-                self.proxies.insert(*id, Proxy::new(zone, rate.max(0.01), before.unwrap_or_default()));
+                self.proxies
+                    .insert(*id, Proxy::new(zone, rate.max(0.01), before.unwrap_or_default(), self.now));
             }
             Event::Left(id) => {
                 let sent = self.proxies.remove(id).map(|proxy| proxy.sent).filter(|sent| !sent.is_empty());
@@ -357,7 +360,10 @@
     /// Common losses while hosts have time to spare mean refused connections. Each proxy then keeps to fewer
     /// hosts, and to more again by steps once losses are gone. Harm: less choice if they have another cause.
     fn tighten(&mut self, name: &ZoneId, zone: &mut Zone) {
-        let short = (COMMON_LOSS..1.0).contains(&zone.usual) && self.load < BUSY_MOST;
+        // One that has just started has heard of a few hosts only, and those are the ones that fail.
+        let heard = zone.paths.values().filter(|path| path.good + path.bad >= 2.0).count() as f64;
+        let told = self.load > 0.0 && heard >= TOLD_OF * self.ready().count() as f64;
+        let short = told && (COMMON_LOSS..1.0).contains(&zone.usual) && self.load < BUSY_MOST;
         let before = zone.uses.max(USES);
         let calm = zone.usual < COMMON_LOSS / 5.0 && before > USES;
         zone.confirmed = if calm { (zone.confirmed + 1) % (2 * CONFIRM) } else { 0 };
@@ -541,7 +547,11 @@
         let usage = |(_, p): (_, &Proxy)| p.usage.get(&class).copied().unwrap_or(0.0);
         let rates: Vec<f64> = self.proxies_of(zone).map(usage).collect();
         let all = share * rates.iter().sum::<f64>();
-        even_cap(rates, all).map_or(NO_LIMIT, |cap| (cap * 2.0).round().max(1.0) / 2.0)
+        if all > 0.0 {
+            even_cap(&rates, all)
+        } else {
+            NO_LIMIT
+        }
     }
 
     // ---- 8. Reconcile ------------------------------------------------------------------------------------
@@ -695,7 +705,14 @@
             shared.insert(name.clone(), self.shared(name, zone));
         }
         turns.sort();
-        for (_, name, at) in turns {
+        let mut waiting = self.waiting();
+        for (sent, name, at) in turns {
+            // Joiners take turns with tables in use until a good part of their grace is over.
+            let long = 0.25 * self.set.drain_grace.secs();
+            let since = |id: &ProxyId| self.proxies[id].joined;
+            let earlier = |id: &ProxyId| since(id) < sent || self.now.since(since(id)) > long;
+            let rest = waiting.split_off(waiting.iter().take_while(|id| earlier(id)).count());
+            self.bind(std::mem::replace(&mut waiting, rest), zones, &mut shared, out);
             let Some(zone) = zones.get_mut(&name) else { continue };
             (0..self.groups.len()).for_each(|group| self.update(zone, &shared[&name], group, at, out));
         }
@@ -704,7 +721,7 @@
                 zone.expect(&self.work(name, zone, 1e-3));
             }
         }
-        self.bind(zones, out);
+        self.bind(waiting, zones, &mut shared, out);
         let sending = std::mem::take(&mut self.sending);
         let unmarked = self.channel.unmarked + sending.values().sum::<f64>();
         let marked = unmarked > UNMARKED * self.ahead(DRAIN) && !sending.is_empty();
@@ -768,7 +785,9 @@
         let all: Lines = lines.clone().into_iter().chain(held).collect();
         let (mut changes, mut levels) = table.differences(&all, &wanted, SAME);
         let urgent = changes.iter().map(|(id, to)| self.urgency(zone, table, id, *to));
-        let urgency = urgent.fold(ORDINARY, |a, b| if b > a { b } else { a });
+        // In a crowd the joiners' part of the channel is for all, in turn: tables that stand still jam hosts.
+        let least = if crowded { BIND } else { ORDINARY };
+        let urgency = urgent.fold(least, |a, b| if b > a { b } else { a });
         let (mut anew, mut count) = (false, changes.len() + levels.len());
         // A table that none holds yet costs nothing: it must be whole before a proxy is bound.
         let short = 1 + lines.len() + wanted.len();
@@ -828,10 +847,19 @@
     }
 
     /// Binds proxies that have joined, once, as soon as the channel has room, to the slot with least work.
-    fn bind(&mut self, zones: &BTreeMap<ZoneId, Zone>, out: &mut Vec<Action>) {
+    fn bind(
+        &mut self,
+        waiting: Vec<ProxyId>,
+        zones: &BTreeMap<ZoneId, Zone>,
+        shared: &mut BTreeMap<ZoneId, Shared>,
+        out: &mut Vec<Action>,
+    ) {
+        if waiting.is_empty() {
+            return;
+        }
         let work = zones.iter().map(|(name, zone)| (name.clone(), self.work(name, zone, 0.0)));
         let mut work: BTreeMap<ZoneId, Vec<f64>> = work.collect();
-        for id in self.waiting() {
+        for id in waiting {
             let (zone, rate) = (&self.proxies[&id].zone, self.proxies[&id].rate);
             let Some(work) = work.get_mut(zone) else { continue };
             let Some(at) = (0..work.len()).min_by(|a, b| work[*a].total_cmp(&work[*b])) else { continue };
@@ -842,6 +870,8 @@
                 continue;
             }
             work[at] += rate;
+            // What its tables get later in this answer goes to it as well.
+            shared.get_mut(zone).into_iter().for_each(|shared| shared.users[at].push(id));
             for (group, table) in tables.iter().enumerate() {
                 let mask = if self.groups.len() == 1 { 0 } else { self.groups[group].mask };
                 out.push(Action::Bind(id, table.id, ClassMask(mask)));
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -159,6 +159,9 @@
     /// Requests a second that it usually gets, and the slot whose tables it was put on.
     pub(crate) rate: f64,
     pub(crate) slot: Option<usize>,
+    /// When it joined.
+    #[serde(default)]
+    pub(crate) joined: Micros,
     /// It waits to be bound, or bound elsewhere: until then it still gets the changes of its old tables.
     pub(crate) moves: bool,
     /// When messages went to it, within the span that is limited.
@@ -286,9 +289,9 @@
 
 impl Proxy {
     /// One that has just joined; `sent` are messages of its earlier streams.
-    pub(crate) fn new(zone: &ZoneId, rate: f64, sent: VecDeque<Micros>) -> Proxy {
+    pub(crate) fn new(zone: &ZoneId, rate: f64, sent: VecDeque<Micros>, joined: Micros) -> Proxy {
         let usage = BTreeMap::new();
-        Proxy { zone: zone.clone(), rate, slot: None, moves: true, sent, usage, told_at: Micros(0) }
+        Proxy { zone: zone.clone(), rate, slot: None, joined, moves: true, sent, usage, told_at: Micros(0) }
     }
 }
 
@@ -581,11 +584,14 @@
         work
     }
 
-    /// The proxies that wait to be bound, those of most traffic first.
+    /// The proxies that wait to be bound, first come first, and of those that came at once those of most traffic.
     pub(crate) fn waiting(&self) -> Vec<ProxyId> {
         let waiting = self.proxies.iter().filter(|(_, p)| p.moves);
         let mut waiting: Vec<ProxyId> = waiting.map(|(id, _)| *id).collect();
-        waiting.sort_by(|a, b| self.proxies[b].rate.total_cmp(&self.proxies[a].rate));
+        waiting.sort_by(|a, b| {
+            let (a, b) = (&self.proxies[a], &self.proxies[b]);
+            a.joined.cmp(&b.joined).then(b.rate.total_cmp(&a.rate))
+        });
         waiting
     }
 
@@ -602,15 +608,88 @@
     values.get(values.len() / 2).copied()
 }
 
-/// The cap on each of some rates that lets `total` through in all; none if there is no need of one.
-pub(crate) fn even_cap(mut rates: Vec<f64>, mut total: f64) -> Option<f64> {
-    rates.sort_by(f64::total_cmp);
-    for (at, rate) in rates.iter().enumerate() {
-        let even = total / (rates.len() - at) as f64;
-        if *rate >= even {
-            return Some(even);
+/// The cap a second on each of some rates that lets `total` through in all: a half or a whole number.
+pub(crate) fn even_cap(rates: &[f64], total: f64) -> f64 {
+    let cap = |step: u64| (step as f64 - 1.0).max(0.5);
+    let enough = |step| rates.iter().map(|rate| let_through(*rate, cap(step))).sum::<f64>() >= total;
+    let mut most = 1;
+    while !enough(most) && most < 1 << 40 {
+        most *= 2;
+    }
+    let mut least = most / 2;
+    while most - least > 1 {
+        let middle = (least + most) / 2;
+        (least, most) = if enough(middle) { (least, middle) } else { (middle, most) };
+    }
+    cap(most)
+}
+
+/// What a cap lets through of requests that come by chance at a rate: well under the rate where few come, since a
+/// second has two as often as none.
+fn let_through(rate: f64, cap: f64) -> f64 {
+    if rate <= 0.0 || cap <= 0.0 {
+        return 0.0;
+    }
+    if cap < 1.0 {
+        return cap * (1.0 - (-rate / cap).exp());
+    }
+    if rate > 50.0 {
+        return rate.min(cap);
+    }
+    // The mean of the lesser of a Poisson count and the cap.
+    let (mut chance, mut more, mut passed) = ((-rate).exp(), 1.0, 0.0);
+    for count in 0..200 {
+        more -= chance;
+        passed += more.max(0.0) * (cap - f64::from(count)).clamp(0.0, 1.0);
+        chance *= rate / f64::from(count + 1);
+        if f64::from(count) >= cap || more < 1e-9 {
+            break;
+        }
+    }
+    passed
+}
+
+#[cfg(test)]
+mod tests {
+    use super::even_cap;
+
+    /// Seconds of requests that come by chance at each rate: the share that a cap lets through.
+    fn passed(rates: &[f64], cap: f64) -> f64 {
+        let mut state = 7u64;
+        let mut chance = || {
+            state = state.wrapping_mul(0x5851_F42D_4C95_7F2D).wrapping_add(0x1405_7B7E_F767_814F);
+            (state >> 11) as f64 / (1u64 << 53) as f64
+        };
+        let (mut came, mut let_in) = (0.0, 0.0);
+        // A cap below one a second lets one request in as often as it says.
+        let span = f64::max(1.0, 1.0 / cap);
+        for rate in rates {
+            for _ in 0..4000 {
+                let (mut count, mut left) = (0.0, (-rate * span).exp());
+                let mut product = chance();
+                while product > left {
+                    (count, product) = (count + 1.0, product * chance());
+                }
+                left = f64::min(count, (cap * span).floor().max(1.0));
+                (came, let_in) = (came + count, let_in + left);
+            }
+        }
+        let_in / came
+    }
+
+    #[test]
+    fn a_cap_lets_through_what_was_meant_where_few_requests_come_to_each() {
+        for rates in [vec![0.2, 0.4, 0.5, 0.9], vec![3.0, 5.0], vec![20.0, 30.0], vec![0.3, 0.5, 12.0]] {
+            let all: f64 = rates.iter().sum();
+            for share in [0.7, 0.85, 0.9] {
+                let cap = even_cap(&rates, share * all);
+                let through = passed(&rates, cap);
+                assert!(
+                    through > share - 0.05,
+                    "{share} meant, {through:.2} let through by {cap} of {rates:?}"
+                );
+            }
         }
-        total -= rate;
+        assert_eq!(even_cap(&[0.0, 0.0], 0.0), 0.5, "nobody comes");
     }
-    None
 }
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -500,3 +500,25 @@
     let level = world.levels.iter().map(|(_, (level, _))| *level).fold(1.0, f64::min);
     assert!(level < 0.45, "the class worth least lets in {level} after three seconds");
 }
+
+#[test]
+fn a_director_that_has_heard_of_few_hosts_takes_their_losses_for_nobody_elses() {
+    let mut world = World::new(settings());
+    world.send(&[Event::List(ListKind::Remembered, fleet(30))]);
+    let join = |n| Event::Joined(ProxyId(n), zone("east"), 50.0);
+    world.send(&[join(0), join(1)]);
+    // Just after a start the first sums that come are those of the hosts that fail.
+    for _ in 0..8 {
+        world.wait(0.5);
+        let sums = Sums { total: 4, lost: 2, over: at(1.0) };
+        let heard =
+            |n: u32| Event::Heard(zone("east"), host(&format!("h{n}")), sums, at(0.1), Load::default());
+        world.send(&[heard(0), heard(2)]);
+    }
+    let logs = world.actions.iter().filter_map(|(_, action)| match action {
+        Action::Log(text) => Some(text.as_str()),
+        _ => None,
+    });
+    let moved: Vec<&str> = logs.filter(|text| text.contains("uses of a connection")).collect();
+    assert!(moved.is_empty(), "{moved:?}");
+}
