--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -84,6 +84,10 @@
 /// Time between two looks at the levels and, where probes tell the load, between two probes of a host; the
 /// longest time between two looks at all else.
 const LEVEL_S: f64 = 1.0;
+/// So many directors may probe every host each time, however many there are: probes cost the hosts work. Each
+/// then asks its part of them, drawn anew each time, and no fewer than make a mean.
+const PROBERS: f64 = 2.0;
+const SAMPLE: f64 = 16.0;
 const TICK_S: f64 = 0.25;
 /// How urgent an order is: the part of the channel's queue, and of the messages to a proxy, that it may use.
 type Urgency = (f64, f64);
@@ -141,8 +145,9 @@
                 zones.iter_mut().for_each(|(name, zone)| self.tighten(name, zone));
                 // Load is asked for only where it is told in no other way.
                 let asks = self.set.probing && self.set.load_reports == LoadReports::WithProbes;
-                let ready = self.fleet.iter().filter(|(_, h)| asks && h.ready());
-                out.extend(ready.map(|(id, _)| Action::Probe(id.clone())));
+                let ready: Vec<HostId> = self.ready().filter(|_| asks).map(|(id, _)| id.clone()).collect();
+                let part = (PROBERS / f64::from(self.set.directors)).max(SAMPLE / ready.len() as f64);
+                out.extend(ready.into_iter().filter(|_| self.chance() < part).map(Action::Probe));
                 self.next_level = self.after(LEVEL_S);
             }
             zones.iter_mut().for_each(|(name, zone)| self.deal(name, zone));
@@ -165,7 +170,9 @@
                 // time after which the director counts as told anyway. Directors spread by their seeds.
                 self.failures += 1;
                 let spread = 0.75 + 0.5 * self.chance();
-                let longest = (self.set.ask_within.secs() / 2.0).max(1.0);
+                // After a failed call four times that count: many must not swamp a list that comes back.
+                let crowd = (f64::from(self.set.directors) / 10.0).clamp(1.0, 4.0);
+                let longest = (crowd * self.set.ask_within.secs() / 2.0).max(1.0);
                 let wait = spread * (0.25 * 2f64.powi(self.failures.min(10) as i32)).min(longest);
                 (self.watching, self.ask_at) = (false, self.after(wait));
                 self.notes.push(format!("list call failed, asking again in {wait:.1} s"));
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -522,3 +522,45 @@
     let moved: Vec<&str> = logs.filter(|text| text.contains("uses of a connection")).collect();
     assert!(moved.is_empty(), "{moved:?}");
 }
+
+#[test]
+fn many_directors_together_probe_no_host_more_than_two_would() {
+    let probes = |directors: u32| {
+        let mut set = settings();
+        (set.directors, set.probing, set.load_reports) = (directors, true, LoadReports::WithProbes);
+        let mut world = World::new(set);
+        world.send(&[Event::List(ListKind::Remembered, fleet(400))]);
+        (0..80).for_each(|_| world.wait(0.25));
+        let probes = world.actions.iter().filter(|(_, action)| matches!(action, Action::Probe(_)));
+        probes.count() as f64 / 20.0
+    };
+    let (two, five, many) = (probes(2), probes(5), probes(350));
+    assert!((360.0..=440.0).contains(&two), "{two} a second");
+    assert!((120.0..=200.0).contains(&five), "{five} a second, of 160");
+    assert!((8.0..=24.0).contains(&many), "{many} a second: enough for a mean, no more");
+}
+
+#[test]
+fn many_directors_spread_their_calls_to_a_list_that_fails() {
+    let gaps = |directors: u32| {
+        let mut set = settings();
+        (set.directors, set.list_on_request) = (directors, true);
+        let mut world = World::new(set);
+        world.send(&[Event::List(ListKind::Remembered, fleet(10))]);
+        let calls = |world: &World| world.actions.iter().filter(|a| a.1 == Action::Watch(true)).count();
+        let mut failed = 0;
+        for _ in 0..800 {
+            if calls(&world) > failed {
+                failed += 1;
+                world.send(&[Event::ListFailed]);
+            }
+            world.wait(0.25);
+        }
+        let asked = world.actions.iter().filter(|a| a.1 == Action::Watch(true)).map(|a| a.0);
+        let asked: Vec<f64> = asked.collect();
+        asked.windows(2).map(|pair| pair[1] - pair[0]).fold(0.0, f64::max)
+    };
+    let (two, many) = (gaps(2), gaps(350));
+    assert!(two > 3.0 && two <= 7.0, "two ask within half of the time that is left them: {two}");
+    assert!(many > 12.0 && many < 40.0, "many stay away longer, inside four times that time: {many}");
+}
