--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -31,7 +31,7 @@
 /// row counts: a host that still answers is the ranking's affair, and what all hosts lose is overload.
 const OUT_LOST: f64 = 3.0;
 const OUT_CHANCE: f64 = 1e-3;
-/// Share of the hosts that must have been heard of for a loss to be common.
+/// Share of the hosts that must have been heard of for a loss to be common; SAMPLE are enough in any case.
 const TOLD_OF: f64 = 0.2;
 /// Median loss from which the fleet as a whole is in trouble: then no host is a laggard.
 const COMMON_LOSS: f64 = 0.1;
@@ -369,7 +369,7 @@
     fn tighten(&mut self, name: &ZoneId, zone: &mut Zone) {
         // One that has just started has heard of a few hosts only, and those are the ones that fail.
         let heard = zone.paths.values().filter(|path| path.good + path.bad >= 2.0).count() as f64;
-        let told = self.load > 0.0 && heard >= TOLD_OF * self.ready().count() as f64;
+        let told = self.load > 0.0 && heard >= SAMPLE.min(TOLD_OF * self.ready().count() as f64);
         let short = told && (COMMON_LOSS..1.0).contains(&zone.usual) && self.load < BUSY_MOST;
         let before = zone.uses.max(USES);
         let calm = zone.usual < COMMON_LOSS / 5.0 && before > USES;
