--- a/crates/wingfold-director/src/interface.rs
+++ b/crates/wingfold-director/src/interface.rs
@@ -243,6 +243,23 @@
     pub over: Micros,
 }
 
+/// What another director says of a host, as its proxies of a zone met it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Advice {
+    /// Who says it.
+    pub from: u32,
+    /// As which zone sees the host.
+    pub zone: ZoneId,
+    /// Which host.
+    pub host: HostId,
+    /// It took the host out, or has it on trial.
+    pub out: bool,
+    /// Halvings in force there.
+    pub step: u32,
+    /// How old that is.
+    pub age: Micros,
+}
+
 /// What a director can hear.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
--- /dev/null
+++ b/crates/wingfold-tier/tests/network.rs
@@ -0,0 +1,399 @@
+//! A tier in virtual time over a network that loses, doubles, delays and cuts one way.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use wingfold_director::interface::*;
+use wingfold_director::Director;
+use wingfold_tier::member::Standing;
+use wingfold_tier::{Out, Plan, Tier};
+
+const TICK: u64 = 100_000;
+
+/// When it lands, its number, to whom, and what.
+type Flight = (u64, u64, u16, Vec<u8>);
+
+/// Directors with a little to say, and the network between them.
+struct Net {
+    now: u64,
+    chance: ChaCha8Rng,
+    loss: f64,
+    doubles: f64,
+    delay: (u64, u64),
+    /// Paths that carry nothing, from whom to whom.
+    cut: BTreeSet<(u16, u16)>,
+    nodes: BTreeMap<u16, (Tier, Director)>,
+    flying: BinaryHeap<std::cmp::Reverse<Flight>>,
+    number: u64,
+    advice: BTreeMap<u16, Vec<Advice>>,
+    bytes: u64,
+    datagrams: u64,
+    largest: usize,
+    old: Vec<(u16, Vec<u8>)>,
+    keys: Vec<Vec<u8>>,
+    count: u16,
+}
+
+fn settings(me: u32, directors: u32) -> Settings {
+    let class = Class {
+        aim: Micros(1_000_000),
+        deadline: Micros(3_000_000),
+        worth: 1.0,
+        effect: Effect::Idempotent,
+        own_zone: false,
+        zones: Vec::new(),
+        kinds: Vec::new(),
+    };
+    Settings {
+        me,
+        directors,
+        zones: vec![ZoneId("a".into()), ZoneId("b".into())],
+        classes: vec![class],
+        proxies: 20,
+        lines_per_s: 1e4,
+        queue_max: 1e4,
+        report_period: Micros(1_000_000),
+        cold: Micros(14_000_000),
+        start_capacity: 0.2,
+        overload_factor: 4.0,
+        overload_for: Micros(3_000_000),
+        drain_grace: Micros(3_000_000),
+        ask_within: Micros(10_000_000),
+        ..Settings::default()
+    }
+}
+
+fn host(at: u32) -> HostId {
+    HostId(format!("10.0.0.{at}:8443").into())
+}
+
+/// A director with ten hosts and a proxy in hall a.
+fn director(me: u32, count: u32, now: u64) -> Director {
+    let mut director = Director::new(settings(me, count), 1);
+    let entry = |at: u32| Entry {
+        host: host(at),
+        kind: "box".into(),
+        zone: ZoneId(if at.is_multiple_of(2) { "a" } else { "b" }.into()),
+        readiness: Readiness::Ready,
+        weight: 1.0,
+        started: None,
+    };
+    let events = [
+        Event::List(ListKind::Whole, (0..10).map(entry).collect()),
+        Event::Joined(ProxyId(me), ZoneId("a".into()), 20.0),
+    ];
+    director.handle(Micros(now), &events, &mut Vec::new());
+    director
+}
+
+impl Net {
+    fn new(count: u16, seed: u64) -> Net {
+        let mut net = Net {
+            now: 1_000_000,
+            chance: ChaCha8Rng::seed_from_u64(seed),
+            loss: 0.0,
+            doubles: 0.0,
+            delay: (1_000, 20_000),
+            cut: BTreeSet::new(),
+            nodes: BTreeMap::new(),
+            flying: BinaryHeap::new(),
+            number: 0,
+            advice: BTreeMap::new(),
+            bytes: 0,
+            datagrams: 0,
+            largest: 0,
+            old: Vec::new(),
+            keys: Vec::new(),
+            count,
+        };
+        (0..count).for_each(|at| net.start(at, 1));
+        net
+    }
+
+    fn start(&mut self, at: u16, life: u32) {
+        let keys = self.keys.clone();
+        let plan = Plan {
+            me: at,
+            count: self.count,
+            life,
+            seed: u64::from(at) * 7 + u64::from(life),
+            name: 5,
+            keys,
+        };
+        let tier = Tier::new(plan, Micros(self.now));
+        let director = director(u32::from(at), u32::from(self.count), self.now);
+        self.advice.remove(&at);
+        self.nodes.insert(at, (tier, director));
+    }
+
+    fn send(&mut self, from: u16, out: Out) {
+        for (to, bytes) in out.datagrams {
+            self.bytes += bytes.len() as u64;
+            self.datagrams += 1;
+            self.largest = self.largest.max(bytes.len());
+            if self.old.len() < 200 {
+                self.old.push((to, bytes.clone()));
+            }
+            if self.cut.contains(&(from, to)) || self.chance.random::<f64>() < self.loss {
+                continue;
+            }
+            let times = if self.chance.random::<f64>() < self.doubles { 2 } else { 1 };
+            for _ in 0..times {
+                self.number += 1;
+                let at = self.now + self.chance.random_range(self.delay.0..=self.delay.1);
+                self.flying.push(std::cmp::Reverse((at, self.number, to, bytes.clone())));
+            }
+        }
+    }
+
+    /// Time passes; every second the directors in `hear` are told sums in which these hosts lose all.
+    fn run(&mut self, secs: f64, dead: &BTreeMap<u16, Vec<u32>>) {
+        let end = self.now + (secs * 1e6) as u64;
+        while self.now < end {
+            self.now += TICK;
+            while self.flying.peek().is_some_and(|next| next.0 .0 <= self.now) {
+                let Some(std::cmp::Reverse((_, _, to, bytes))) = self.flying.pop() else { break };
+                let mut out = Out::default();
+                if let Some((tier, _)) = self.nodes.get_mut(&to) {
+                    tier.hear(Micros(self.now), &bytes, &mut out);
+                }
+                self.send(to, out);
+            }
+            let ids: Vec<u16> = self.nodes.keys().copied().collect();
+            for at in ids {
+                let mut out = Out::default();
+                let now = Micros(self.now);
+                let Some((tier, director)) = self.nodes.get_mut(&at) else { continue };
+                if self.now.is_multiple_of(1_000_000) {
+                    let lost = dead.get(&at).cloned().unwrap_or_default();
+                    let heard = (0..10).map(|one| {
+                        let total = 8;
+                        let lost = if lost.contains(&one) { total } else { 0 };
+                        let sums = Sums { total, lost, over: Micros(1_000_000) };
+                        Event::Heard(ZoneId("a".into()), host(one), sums, Micros(90_000), Load::default())
+                    });
+                    director.handle(now, &heard.collect::<Vec<_>>(), &mut Vec::new());
+                } else {
+                    director.handle(now, &[Event::Timer(0)], &mut Vec::new());
+                }
+                tier.tick(now, director, &mut out);
+                let advice = tier.advice(now, director);
+                self.advice.entry(at).or_default().extend(advice);
+                self.send(at, out);
+            }
+        }
+    }
+
+    fn standing(&self, of: u16, at: u16) -> Standing {
+        self.nodes[&of].0.members().standing(at)
+    }
+
+    /// All directors that run agree on how this one stands.
+    fn all_see(&self, at: u16, standing: Standing) -> bool {
+        self.nodes.keys().filter(|of| **of != at).all(|of| self.standing(*of, at) == standing)
+    }
+
+    fn whole(&self) -> bool {
+        self.nodes.keys().all(|at| self.all_see(*at, Standing::Alive))
+    }
+
+    /// All know each other's notes up to the last.
+    fn converged(&self) -> bool {
+        let known = |of: &u16| self.nodes[of].0.notes().known().collect::<BTreeMap<_, _>>();
+        self.nodes.keys().all(|of| {
+            let mine = known(of);
+            self.nodes.keys().all(|at| {
+                known(at).get(at).is_none_or(|theirs| theirs.1 == 0 || mine.get(at) == Some(theirs))
+            })
+        })
+    }
+}
+
+fn none() -> BTreeMap<u16, Vec<u32>> {
+    BTreeMap::new()
+}
+
+#[test]
+fn a_tier_finds_itself_and_one_that_dies_is_gone_for_all_under_losses() {
+    for (loss, within) in [(0.0, 12.0), (0.1, 15.0), (0.3, 25.0), (0.6, 90.0)] {
+        for seed in 0..3 {
+            let mut net = Net::new(6, seed);
+            (net.loss, net.doubles) = (loss, 0.1);
+            net.run(if loss > 0.5 { 40.0 } else { 15.0 }, &none());
+            // At such losses somebody is always suspect for a moment, and says so himself.
+            if loss < 0.2 {
+                assert!(net.whole(), "loss {loss}, seed {seed}");
+            }
+            net.nodes.remove(&3);
+            net.run(within, &none());
+            let gone = |of: &u16| net.standing(*of, 3) >= Standing::Suspect;
+            assert!(net.nodes.keys().all(gone), "loss {loss}, seed {seed}");
+            net.loss = 0.0;
+            net.run(30.0, &none());
+            assert!(net.all_see(3, Standing::Gone), "loss {loss}, seed {seed}");
+            let live: Vec<u16> = net.nodes.keys().copied().collect();
+            for at in live {
+                assert!(
+                    net.all_see(at, Standing::Alive),
+                    "no live one is held gone for good: {at}, seed {seed}"
+                );
+            }
+            assert!(net.largest <= 256);
+        }
+    }
+}
+
+#[test]
+fn a_cut_in_one_direction_kills_nobody() {
+    let mut net = Net::new(5, 4);
+    net.run(10.0, &none());
+    // Nothing from 0 reaches 1; all else goes on.
+    net.cut.insert((0, 1));
+    for _ in 0..40 {
+        net.run(1.0, &none());
+        assert_ne!(net.standing(0, 1), Standing::Gone, "1 is asked after through others");
+        assert_ne!(net.standing(1, 0), Standing::Gone);
+    }
+}
+
+#[test]
+fn halves_that_were_cut_for_a_minute_find_each_other_with_both_their_pictures() {
+    for seed in 0..3 {
+        let mut net = Net::new(4, seed);
+        net.run(8.0, &none());
+        for (one, other) in [(0, 2), (0, 3), (1, 2), (1, 3)] {
+            net.cut.extend([(one, other), (other, one)]);
+        }
+        // Each half learns something else meanwhile: contradicting pictures.
+        let dead = BTreeMap::from([(0, vec![1]), (1, vec![1]), (2, vec![4]), (3, vec![4])]);
+        net.run(60.0, &dead);
+        assert_eq!((net.standing(0, 2), net.standing(3, 1)), (Standing::Gone, Standing::Gone));
+        net.cut.clear();
+        net.run(30.0, &dead);
+        assert!(net.whole(), "seed {seed}");
+        assert!(net.converged(), "seed {seed}");
+        let out = |at: u16, of: u32| net.advice[&at].iter().any(|a| a.host == host(of) && a.out);
+        assert!(out(0, 4) && out(2, 1), "seed {seed}: each knows what the other half saw");
+    }
+}
+
+#[test]
+fn a_restart_is_told_from_a_return_and_old_datagrams_revive_nobody() {
+    let mut net = Net::new(3, 1);
+    net.run(8.0, &BTreeMap::from([(2, vec![4])]));
+    let old = net.old.clone();
+    // Twice within a second, the second time with a clock that went back.
+    net.start(2, 5);
+    net.run(0.4, &none());
+    net.start(2, 3);
+    net.run(12.0, &BTreeMap::from([(2, vec![6])]));
+    assert!(net.whole() && net.converged());
+    let life = net.nodes[&2].0.members().life();
+    assert!(life > 5, "it went beyond its own last life: {life}");
+    net.nodes.remove(&2);
+    net.run(25.0, &none());
+    assert!(net.all_see(2, Standing::Gone));
+    for (to, bytes) in old {
+        if let Some((tier, _)) = net.nodes.get_mut(&to) {
+            tier.hear(Micros(net.now), &bytes, &mut Out::default());
+        }
+    }
+    assert!(net.all_see(2, Standing::Gone), "datagrams of an earlier life");
+}
+
+#[test]
+fn one_that_leaves_in_good_order_is_known_to_have_left_at_once() {
+    let mut net = Net::new(4, 2);
+    net.run(8.0, &none());
+    let mut out = Out::default();
+    let now = Micros(net.now);
+    net.nodes.get_mut(&1).unwrap().0.leave(now, &mut out);
+    net.send(1, out);
+    net.nodes.remove(&1);
+    net.run(0.3, &none());
+    assert!(net.all_see(1, Standing::Left));
+    net.start(1, 2);
+    net.run(8.0, &none());
+    assert!(net.whole(), "and back in its next life");
+}
+
+#[test]
+fn what_one_learned_reaches_the_others_and_a_restarted_one_soon() {
+    for (loss, soon) in [(0.0, 1.0), (0.1, 1.5), (0.3, 3.0)] {
+        for seed in 0..5 {
+            let mut net = Net::new(2, seed);
+            net.loss = loss;
+            let dead = BTreeMap::from([(0, vec![2, 5])]);
+            net.run(20.0, &dead);
+            let knows = |net: &Net, at: u16| {
+                [2, 5].iter().all(|of| net.advice.get(&at).into_iter().flatten().any(|a| a.host == host(*of)))
+            };
+            assert!(knows(&net, 1), "loss {loss}, seed {seed}");
+            net.start(1, 2);
+            assert!(!knows(&net, 1));
+            net.run(soon, &dead);
+            assert!(knows(&net, 1), "loss {loss}, seed {seed}: within {soon} s");
+        }
+    }
+}
+
+#[test]
+fn traffic_is_bounded_whatever_the_size() {
+    for (count, most) in [(2u16, 700.0), (6, 1300.0), (50, 2300.0)] {
+        let mut net = Net::new(count, 3);
+        net.run(10.0, &none());
+        (net.bytes, net.datagrams) = (0, 0);
+        net.run(20.0, &none());
+        assert!(net.whole() || count == 50, "{count}");
+        let bytes = net.bytes as f64 / 20.0 / f64::from(count);
+        let datagrams = net.datagrams as f64 / 20.0 / f64::from(count);
+        println!("{count} directors: {bytes:.0} bytes and {datagrams:.1} datagrams a second and director");
+        assert!(bytes < most, "{count}: {bytes}");
+    }
+}
+
+#[test]
+fn sealed_tiers_take_no_strangers_and_change_keys_without_a_gap() {
+    let mut net = Net::new(3, 6);
+    net.keys = vec![b"first".to_vec()];
+    (0..3).for_each(|at| net.start(at, 2));
+    net.run(8.0, &none());
+    assert!(net.whole());
+    for keys in [vec!["first", "second"], vec!["second", "first"], vec!["second"]] {
+        let keys: Vec<Vec<u8>> = keys.into_iter().map(|key| key.as_bytes().to_vec()).collect();
+        for at in 0..3 {
+            net.nodes.get_mut(&at).unwrap().0.keys(keys.clone());
+            net.run(1.0, &none());
+            assert!(net.whole());
+        }
+    }
+    let refused = |net: &Net| net.nodes.values().map(|(tier, _)| tier.refused()[0]).sum::<u64>();
+    assert_eq!(refused(&net), 0);
+    // Directors without the key, and one that repeats what it overheard.
+    let replayed = net.old.clone();
+    let taken = net.nodes[&0].0.counts.taken;
+    for (_, bytes) in replayed.iter().take(50) {
+        net.nodes.get_mut(&0).unwrap().0.hear(Micros(net.now), bytes, &mut Out::default());
+    }
+    assert_eq!(net.nodes[&0].0.counts.taken, taken);
+    assert!(net.nodes[&0].0.refused().iter().sum::<u64>() >= 50);
+}
+
+#[test]
+fn a_director_alone_says_nothing() {
+    let mut net = Net::new(1, 0);
+    net.run(30.0, &BTreeMap::from([(0, vec![1])]));
+    assert_eq!(net.datagrams, 0);
+}
+
+#[test]
+fn fifty_that_begin_at_once_find_each_other() {
+    let mut net = Net::new(50, 8);
+    net.loss = 0.05;
+    net.run(60.0, &none());
+    let pairs = || net.nodes.keys().flat_map(|of| net.nodes.keys().map(move |at| (*of, *at)));
+    let seen = |standing| pairs().filter(|(of, at)| of != at && net.standing(*of, *at) == standing).count();
+    assert_eq!(seen(Standing::Gone), 0);
+    // A suspicion told by one is with many for a moment before it is denied.
+    assert!(seen(Standing::Alive) >= 50 * 49 * 95 / 100, "{}", seen(Standing::Alive));
+}
