Bind joiners after all tables, and share their part only until the first has waited

At fault: the turns of `reconcile`. Joiners were bound between two tables, to tables that changed later in the same answer, so that lines counted twice, and before drains that came after them in the turn.

Change: joiners come after all tables again, which also does away with the binding inside the loop and its bookkeeping. What keeps either from starving is simpler: in a crowd ordinary changes may use the joiners' part until the first joiner has waited for a fifth of the drain grace, then they fall back to their own.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -91,6 +91,8 @@
 const TICK_S: f64 = 0.25;
 /// How urgent an order is: the part of the channel's queue, and of the messages to a proxy, that it may use.
 type Urgency = (f64, f64);
+/// Share of the drain grace after which joiners go before tables in use.
+const PATIENCE: f64 = 0.2;
 const DRAIN: Urgency = (0.9, 1.0);
 const BIND: Urgency = (0.8, 0.9);
 const HEALTH: Urgency = (0.5, 0.7);
@@ -712,14 +714,7 @@
             shared.insert(name.clone(), self.shared(name, zone));
         }
         turns.sort();
-        let mut waiting = self.waiting();
-        for (sent, name, at) in turns {
-            // Joiners take turns with tables in use until a good part of their grace is over.
-            let long = 0.25 * self.set.drain_grace.secs();
-            let since = |id: &ProxyId| self.proxies[id].joined;
-            let earlier = |id: &ProxyId| since(id) < sent || self.now.since(since(id)) > long;
-            let rest = waiting.split_off(waiting.iter().take_while(|id| earlier(id)).count());
-            self.bind(std::mem::replace(&mut waiting, rest), zones, &mut shared, out);
+        for (_, name, at) in turns {
             let Some(zone) = zones.get_mut(&name) else { continue };
             (0..self.groups.len()).for_each(|group| self.update(zone, &shared[&name], group, at, out));
         }
@@ -728,7 +723,7 @@
                 zone.expect(&self.work(name, zone, 1e-3));
             }
         }
-        self.bind(waiting, zones, &mut shared, out);
+        self.bind(zones, out);
         let sending = std::mem::take(&mut self.sending);
         let unmarked = self.channel.unmarked + sending.values().sum::<f64>();
         let marked = unmarked > UNMARKED * self.ahead(DRAIN) && !sending.is_empty();
@@ -773,7 +768,9 @@
         let mut users = vec![Vec::new(); zone.slots.len()];
         let bound = self.proxies_of(name).filter_map(|(id, p)| Some((*id, p.slot?)));
         bound.for_each(|(id, slot)| users[slot].push(id));
-        Shared { usable, levels, users, waiting: self.proxies.values().filter(|p| p.moves).count() }
+        let waiting = self.waiting();
+        let waits = waiting.first().map_or(0.0, |id| self.now.since(self.proxies[id].joined));
+        Shared { usable, levels, users, waiting: waiting.len(), waits }
     }
 
     /// Sends the differences of a table for a group of classes if the most urgent may go now, and then as
@@ -792,8 +789,10 @@
         let all: Lines = lines.clone().into_iter().chain(held).collect();
         let (mut changes, mut levels) = table.differences(&all, &wanted, SAME);
         let urgent = changes.iter().map(|(id, to)| self.urgency(zone, table, id, *to));
-        // In a crowd the joiners' part of the channel is for all, in turn: tables that stand still jam hosts.
-        let least = if crowded { BIND } else { ORDINARY };
+        // In a crowd the joiners' part of the channel is for all: tables that stand still jam hosts. Joiners
+        // have it for themselves once the first of them has waited for a good part of its grace.
+        let least =
+            if crowded && shared.waits < PATIENCE * self.set.drain_grace.secs() { BIND } else { ORDINARY };
         let urgency = urgent.fold(least, |a, b| if b > a { b } else { a });
         let (mut anew, mut count) = (false, changes.len() + levels.len());
         // A table that none holds yet costs nothing: it must be whole before a proxy is bound.
@@ -854,19 +853,10 @@
     }
 
     /// Binds proxies that have joined, once, as soon as the channel has room, to the slot with least work.
-    fn bind(
-        &mut self,
-        waiting: Vec<ProxyId>,
-        zones: &BTreeMap<ZoneId, Zone>,
-        shared: &mut BTreeMap<ZoneId, Shared>,
-        out: &mut Vec<Action>,
-    ) {
-        if waiting.is_empty() {
-            return;
-        }
+    fn bind(&mut self, zones: &BTreeMap<ZoneId, Zone>, out: &mut Vec<Action>) {
         let work = zones.iter().map(|(name, zone)| (name.clone(), self.work(name, zone, 0.0)));
         let mut work: BTreeMap<ZoneId, Vec<f64>> = work.collect();
-        for id in waiting {
+        for id in self.waiting() {
             let (zone, rate) = (&self.proxies[&id].zone, self.proxies[&id].rate);
             let Some(work) = work.get_mut(zone) else { continue };
             let Some(at) = (0..work.len()).min_by(|a, b| work[*a].total_cmp(&work[*b])) else { continue };
@@ -877,8 +867,6 @@
                 continue;
             }
             work[at] += rate;
-            // What its tables get later in this answer goes to it as well.
-            shared.get_mut(zone).into_iter().for_each(|shared| shared.users[at].push(id));
             for (group, table) in tables.iter().enumerate() {
                 let mask = if self.groups.len() == 1 { 0 } else { self.groups[group].mask };
                 out.push(Action::Bind(id, table.id, ClassMask(mask)));
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -120,12 +120,13 @@
 }
 
 /// What the tables of a zone have in common: usable hosts by group, levels by class, bound proxies by slot, and how many
-/// proxies of all zones wait to be bound.
+/// proxies of all zones wait to be bound, and the first of them for how long.
 pub(crate) struct Shared {
     pub(crate) usable: Vec<Vec<Line>>,
     pub(crate) levels: Vec<f64>,
     pub(crate) users: Vec<Vec<ProxyId>>,
     pub(crate) waiting: usize,
+    pub(crate) waits: f64,
 }
 
 /// Lines and levels of a table that are to be ordered.
--- a/crates/wingfold-director/tests/channel.rs
+++ b/crates/wingfold-director/tests/channel.rs
@@ -279,7 +279,7 @@
     }
     assert!(all_bound < 0.7 * 19.0, "all are bound well inside the grace: {all_bound:.1} s");
     // Those that were here before got their tables' changes meanwhile.
-    let within = |time: &&f64| **time > begun + 1.0 && **time < begun + all_bound;
+    let within = |time: &&f64| **time > begun && **time < begun + all_bound;
     let told = (0..80).filter(|n| channel.sent[&ProxyId(*n)].iter().any(|time| within(&time)));
     let told = told.count();
     assert!(told > 40, "{told} of 80 were told anything while the crowd came in");
