Take the load of hosts that leave as asked for still: levels keep to what is left

All five directors then read less work, not more: 'demand' 230 -> 190 -> 152 -> 130 units while the same requests came, so at 23 s levels stood at 1.00 with half of the capacity cold; a second later '519 ms, loss 0.25', demand read as 323 to 600, and 0.35 to 0.45 of the work was let in for the last 15 s (33 to 37 % refused, 4.6 % late). Cause: levels() in brain.rs multiplied a load met seconds ago, with all hosts, by the capacity that is open now, and divided by the share let in then. Change: what is kept by time is the open capacity over the share let in, so both are those of the time the load was met. Test: work_of_hosts_that_leave_still_counts_as_asked_for; without the change 0.65 is let in where 0.45 at most is right.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -512,11 +512,12 @@
         while self.let_in.len() > 1 && self.now.since(self.let_in[1].0) >= lag {
             self.let_in.pop_front();
         }
-        let was = self.let_in.front().map_or(1.0, |l| l.1);
+        // Both as they were when the load was met: hosts that drain meanwhile took their part of it.
+        let was = self.let_in.front().map_or(capacity, |l| l.1);
         // Saturated cores don't tell how much more was asked of them; losses do.
         let hidden = if load >= BUSY_MOST { 1.0 + loss.min(0.5) } else { 1.0 };
         // A rise counts at once, a fall by half: a jam forms faster than it ends.
-        let demand = load * hidden * capacity / was;
+        let demand = load * hidden * was;
         self.demand = demand.max((self.demand + demand) / 2.0);
         let share = BUSY_AIM * capacity / self.demand.max(1e-9);
         let share = if share >= 0.9 { 1.0 } else { ((share * 20.0).round() / 20.0).max(LEAST_ADMITTED) };
@@ -525,7 +526,7 @@
             self.notes.push(format!("lets in {share:.2} {why}"));
         }
         self.admitted = share;
-        self.let_in.push_back((self.now, share));
+        self.let_in.push_back((self.now, capacity / share));
     }
 
     /// The share of a class that is let in. What is worth least for its work, by its aim, goes first.
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -217,7 +217,7 @@
     pub(crate) zones: BTreeMap<ZoneId, Zone>,
     pub(crate) proxies: BTreeMap<ProxyId, Proxy>,
     pub(crate) groups: Vec<Group>,
-    /// Share of the work that is let in, and what it was when the present figures were measured.
+    /// Share of the work that is let in, and by time the open capacity over it, from when the present figures were met.
     pub(crate) admitted: f64,
     pub(crate) let_in: VecDeque<(Micros, f64)>,
     /// Median loss and latency of the hosts in the last round.
--- a/crates/wingfold-director/tests/safety.rs
+++ b/crates/wingfold-director/tests/safety.rs
@@ -475,32 +475,54 @@
     assert!(world.actions.iter().all(|(_, a)| matches!(a, Action::Log(_) | Action::Timer(..))));
 }
 
+/// Seconds in which every host tells this busy share, and as many requests of both classes come.
+fn told_busy(world: &mut World, busy: f64, secs: usize) {
+    for _ in 0..secs {
+        world.wait(1.0);
+        let load = Load { busy: Some(busy), ..Load::default() };
+        let sums = Sums { total: 50, lost: 0, over: at(1.0) };
+        let usage = |class| Event::Usage(ProxyId(0), ClassId(class), sums);
+        let mut events: Vec<Event> = vec![usage(0), usage(1)];
+        for place in ["east", "west"] {
+            let lines = world.lines(place).into_keys();
+            events.extend(lines.map(|id| heard(place, id, 10, 0.1, load)));
+        }
+        world.send(&events);
+    }
+}
+
+fn lowest_level(world: &World) -> f64 {
+    world.levels.values().map(|(level, _)| *level).fold(1.0, f64::min)
+}
+
 #[test]
 fn a_level_falls_at_once_when_demand_rises() {
     // Guards against: seconds of small cuts while queues grow, because demand is smoothed on its way up.
     let mut set = settings();
     set.load_reports = LoadReports::WithAnswers;
     let mut world = World::running(set, 8);
-    let secs = |world: &mut World, busy: f64, count: usize| {
-        for _ in 0..count {
-            world.wait(1.0);
-            let load = Load { busy: Some(busy), ..Load::default() };
-            let usage =
-                |class| Event::Usage(ProxyId(0), ClassId(class), Sums { total: 50, lost: 0, over: at(1.0) });
-            let mut events: Vec<Event> = vec![usage(0), usage(1)];
-            for place in ["east", "west"] {
-                let lines = world.lines(place).into_keys();
-                events.extend(lines.map(|id| heard(place, id, 10, 0.1, load)));
-            }
-            world.send(&events);
-        }
-    };
-    secs(&mut world, 0.5, 10);
-    secs(&mut world, 1.0, 3);
-    let level = world.levels.iter().map(|(_, (level, _))| *level).fold(1.0, f64::min);
+    told_busy(&mut world, 0.5, 10);
+    told_busy(&mut world, 1.0, 3);
+    let level = lowest_level(&world);
     assert!(level < 0.45, "the class worth least lets in {level} after three seconds");
 }
 
+#[test]
+fn work_of_hosts_that_leave_still_counts_as_asked_for() {
+    // Guards against: a load that was met with all hosts, multiplied by the capacity of those that are left. It
+    // reads as less work the more hosts a release takes, and levels open just when there is no room.
+    let mut set = settings();
+    set.load_reports = LoadReports::WithAnswers;
+    let mut world = World::running(set, 8);
+    told_busy(&mut world, 0.65, 10);
+    assert_eq!(lowest_level(&world), 1.0, "what the hosts can do is let in");
+    let half = (0..4).map(|n| entry(&format!("h{n}"), "east", Readiness::Draining, None)).collect();
+    world.send(&[changes(half)]);
+    told_busy(&mut world, 0.65, 2);
+    let level = lowest_level(&world);
+    assert!(level < 0.45, "half of the capacity is left, and the class worth least lets in {level}");
+}
+
 #[test]
 fn a_director_that_has_heard_of_few_hosts_takes_their_losses_for_nobody_elses() {
     let mut world = World::new(settings());
