Size kinds of machine by their busy shares: listed sizes tell cores, not how fast they are

Ruled out: the channel (0.9 s of lag, spares last), cold hosts (before any start). At fault: list() in brain.rs, which took the listed weight as it stands. Change: sizes() compares the median busy share of each kind's warm, undemoted hosts once a cooldown and multiplies the kind's weight by it, against the fastest kind, smoothed by half; newcomers of a known kind begin with it.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -61,6 +61,8 @@
 const BUSY_AIM: f64 = 0.65;
 const BUSY_MOST: f64 = 0.92;
 const WAIT_AIM: f64 = 0.2;
+/// Cores that are busy for less tell of probes and of chance.
+const BUSY_LEAST: f64 = 0.25;
 const LEAST_LEVEL: f64 = 0.05;
 /// Least of all work that is let in: queues that still drain must not read as ever more demand. And a level
 /// that lets everything in where levels are rates.
@@ -144,6 +146,7 @@
             }
             if self.now >= self.next_level {
                 self.levels(&zones);
+                self.sizes(&zones);
                 zones.iter_mut().for_each(|(name, zone)| self.tighten(name, zone));
                 // Load is asked for only where it is told in no other way.
                 let asks = self.set.probing && self.set.load_reports == LoadReports::WithProbes;
@@ -232,7 +235,8 @@
             self.fleet.iter_mut().filter(|(id, _)| !named.contains(id)).for_each(|(_, host)| gone(host));
         }
         for entry in entries {
-            let (id, listed) = (&entry.host, if entry.weight > 0.0 { entry.weight } else { 1.0 });
+            let speed = self.speeds.get(&entry.kind).unwrap_or(&1.0);
+            let (id, listed) = (&entry.host, speed * if entry.weight > 0.0 { entry.weight } else { 1.0 });
             if entry.readiness != Readiness::Ready {
                 self.notes.push(format!("{} is {:?}", id.0, entry.readiness));
             }
@@ -529,6 +533,32 @@
         self.let_in.push_back((self.now, capacity / share));
     }
 
+    /// Listed sizes may leave out how fast a kind of machine is: busy shares at equal parts of the work tell.
+    /// By median: one host's speed is the ranking's affair. Harm: a trouble that strikes half of a kind.
+    fn sizes(&mut self, zones: &BTreeMap<ZoneId, Zone>) {
+        let mut kinds = self.busy_by_kind(zones, 2.0 * ROUND_S.max(self.set.report_period.secs()));
+        let cooled = self.sized_at.is_none_or(|at| self.now.since(at) >= COOLDOWN_S);
+        kinds.retain(|_, busy| cooled && self.load < BUSY_MOST && busy.len() as f64 >= ENOUGH);
+        let speed = |(kind, busy): (String, Vec<f64>)| {
+            let known = self.speeds.get(&kind).copied();
+            let busy = median(busy.into_iter()).filter(|busy| *busy >= BUSY_LEAST)?;
+            Some((kind, known, known.unwrap_or(1.0) / busy))
+        };
+        let speeds: Vec<(String, Option<f64>, f64)> = kinds.into_iter().filter_map(speed).collect();
+        let best = speeds.iter().map(|speed| speed.2).fold(0.0, f64::max);
+        for (kind, known, speed) in speeds {
+            // Smoothed: busy shares are those of some seconds ago, and of what all directors send.
+            let (was, speed) = (known.unwrap_or(1.0), speed / best);
+            let now = known.map_or(speed, |known| (known + speed) / 2.0);
+            if (speed / was - 1.0).abs() >= MARGIN_SHARE {
+                self.notes.push(format!("{kind} does {now:.2} of the fastest kind for its size"));
+                let same = self.fleet.values_mut().filter(|host| host.entry.kind == kind);
+                same.for_each(|host| host.weight *= now / was);
+                (self.sized_at, _) = (Some(self.now), self.speeds.insert(kind, now));
+            }
+        }
+    }
+
     /// The share of a class that is let in. What is worth least for its work, by its aim, goes first.
     fn share(&self, class: usize) -> f64 {
         let worth = |at: usize| self.set.classes[at].worth / self.set.classes[at].aim.secs();
@@ -546,24 +576,12 @@
         let share = self.share(class);
         match self.set.admission {
             Admission::Share => (share * 20.0).round() / 20.0,
-            Admission::Rate if share < 1.0 => self.cap(zone, ClassId(class), share),
+            Admission::Rate if share < 1.0 => self.cap(zone, ClassId(class), share).unwrap_or(NO_LIMIT),
             Admission::Rate => NO_LIMIT,
             Admission::Ignored => 1.0,
         }
     }
 
-    /// The rate at each proxy of the zone that lets `share` of the class in.
-    fn cap(&self, zone: &ZoneId, class: ClassId, share: f64) -> f64 {
-        let usage = |(_, p): (_, &Proxy)| p.usage.get(&class).copied().unwrap_or(0.0);
-        let rates: Vec<f64> = self.proxies_of(zone).map(usage).collect();
-        let all = share * rates.iter().sum::<f64>();
-        if all > 0.0 {
-            even_cap(&rates, all)
-        } else {
-            NO_LIMIT
-        }
-    }
-
     // ---- 8. Reconcile ------------------------------------------------------------------------------------
     /// Deals a zone's hosts to its slots. Each has every host, the design's table, unless a proxy sends so
     /// little that most connections would close before they are used again: handshakes then eat the hosts'
@@ -735,15 +753,6 @@
         self.channel.ordered(self.now, sending, marked);
     }
 
-    /// Lines a second that the channel sends at present.
-    fn pace(&self) -> f64 {
-        if self.channel.pace > 0.0 {
-            self.channel.pace
-        } else {
-            self.set.lines_per_s
-        }
-    }
-
     /// Lines that may be under way for orders of an urgency: those waiting in the channel and those past it.
     fn ahead(&self, (queue, _): Urgency) -> f64 {
         let pace = self.pace();
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -229,6 +229,9 @@
     pub(crate) load: f64,
     /// All work that is asked for, in units of listed weight.
     pub(crate) demand: f64,
+    /// How fast each kind of machine is for its listed weight, against the fastest, and when that last changed.
+    pub(crate) speeds: BTreeMap<String, f64>,
+    pub(crate) sized_at: Option<Micros>,
     /// Proxies that this answer sends a message, with its lines.
     pub(crate) sending: BTreeMap<ProxyId, f64>,
     pub(crate) channel: Channel,
@@ -596,6 +599,41 @@
         waiting
     }
 
+    /// Busy shares by kind of machine: those of its warm hosts that told them lately and that every zone here uses by
+    /// their full size.
+    pub(crate) fn busy_by_kind(
+        &self,
+        zones: &BTreeMap<ZoneId, Zone>,
+        lately: f64,
+    ) -> BTreeMap<String, Vec<f64>> {
+        let mut kinds: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+        for (id, host) in self.ready().filter(|(_, host)| self.age(host) >= 1.0) {
+            let mut paths = zones.values().filter_map(|zone| zone.paths.get(id));
+            let full = paths.all(|path| path.state == Health::In && path.step == 0);
+            let told = host.busy.filter(|(busy, at)| *busy > 0.0 && self.now.since(*at) <= lately);
+            if let Some((busy, _)) = told.filter(|_| full) {
+                kinds.entry(host.entry.kind.clone()).or_default().push(busy);
+            }
+        }
+        kinds
+    }
+
+    /// The rate at each proxy of the zone that lets `share` of the class in; no limit where none is known.
+    pub(crate) fn cap(&self, zone: &ZoneId, class: ClassId, share: f64) -> Option<f64> {
+        let usage = |(_, p): (_, &Proxy)| p.usage.get(&class).copied().unwrap_or(0.0);
+        let rates: Vec<f64> = self.proxies_of(zone).map(usage).collect();
+        let all = share * rates.iter().sum::<f64>();
+        (all > 0.0).then(|| even_cap(&rates, all))
+    }
+
+    /// Lines a second that the channel sends at present.
+    pub(crate) fn pace(&self) -> f64 {
+        match self.channel.pace > 0.0 {
+            true => self.channel.pace,
+            false => self.set.lines_per_s,
+        }
+    }
+
     /// The hosts that the list shows as ready.
     pub(crate) fn ready(&self) -> impl Iterator<Item = (&HostId, &Host)> {
         self.fleet.iter().filter(|(_, host)| host.ready())
--- a/crates/wingfold-director/tests/ranking.rs
+++ b/crates/wingfold-director/tests/ranking.rs
@@ -169,3 +169,55 @@
     }
     assert!((world.weight("east", "h1") - 0.25).abs() < 1e-9, "{}", world.weight("east", "h1"));
 }
+
+/// Sixteen hosts listed alike, of two kinds in turn, that tell their busy share each second as `busy` says of the kind and
+/// of the weight that the host has; gives the mean weight of both kinds in the end.
+fn weights_by_kind(secs: u32, busy: impl Fn(usize, f64) -> f64) -> ([f64; 2], World) {
+    let mut world = World::new(Settings { load_reports: LoadReports::WithAnswers, ..settings() });
+    let kind = |n: usize| ["quick", "slow"][n / 2 % 2];
+    let fleet = fleet(16).into_iter().enumerate().map(|(n, e)| Entry { kind: kind(n).into(), ..e });
+    world.send(&[Event::List(ListKind::Remembered, fleet.collect())]);
+    let joins = |(n, place)| Event::Joined(ProxyId(n), zone(place), 50.0);
+    world.send(&[(0, "east"), (1, "west")].map(joins));
+    for _ in 0..secs {
+        world.wait(1.0);
+        let line = |n: usize, place: &str| {
+            let (id, weight) = (host(&format!("h{n}")), world.weight(place, &format!("h{n}")));
+            let busy = busy(n, weight);
+            heard(place, id, 10, 0.1, Load { busy: Some(busy), ..Load::default() })
+        };
+        let events: Vec<Event> = (0..16).flat_map(|n| ["east", "west"].map(|place| line(n, place))).collect();
+        world.send(&events);
+    }
+    let mean = |which: usize| {
+        let hosts = (0..16).filter(|n| n / 2 % 2 == which);
+        hosts.map(|n| world.weight("east", &format!("h{n}"))).sum::<f64>() / 8.0
+    };
+    ([mean(0), mean(1)], world)
+}
+
+#[test]
+fn a_kind_of_machine_that_is_slow_for_its_listed_size_gets_as_much_less() {
+    // Guards against: a list that tells cores and not how fast they are. Half of the fleet then runs full while the other
+    // half idles, and the ranking sees one host after the other, in steps, round after round.
+    let speed = |n: usize| [1.0, 0.6][n / 2 % 2];
+    let ([quick, slow], mut world) = weights_by_kind(6, |n, weight| 0.5 * weight / speed(n));
+    assert!(quick == 1.0 && (slow - 0.6).abs() < 0.05, "after six seconds {quick} and {slow}");
+    let ([quick, slow], _) = weights_by_kind(60, |n, weight| 0.5 * weight / speed(n));
+    assert!(quick == 1.0 && (slow - 0.6).abs() < 0.1, "it stays there: {quick} and {slow}");
+    // A newcomer of that kind begins with what is known of it.
+    let new = Entry { kind: "slow".into(), ..entry("n1", "east", Readiness::Ready, Some(0.0)) };
+    world.send(&[Event::List(ListKind::Changes, vec![new])]);
+    world.wait(40.0);
+    assert!((world.weight("east", "n1") - 0.6).abs() < 0.1, "{}", world.weight("east", "n1"));
+}
+
+#[test]
+fn a_few_hosts_that_are_busy_and_a_full_fleet_tell_nothing_of_a_kind() {
+    let strained = |n: usize, _| if [2, 3, 6].contains(&n) { 1.0 } else { 0.5 };
+    assert_eq!(weights_by_kind(30, strained).0, [1.0, 1.0], "three of eight of a kind: the ranking's affair");
+    let full = |n: usize, _| [0.9, 1.0][n / 2 % 2];
+    assert_eq!(weights_by_kind(30, full).0, [1.0, 1.0], "saturated cores tell no speeds");
+    let idle = |n: usize, _| [0.05, 0.1][n / 2 % 2];
+    assert_eq!(weights_by_kind(30, idle).0, [1.0, 1.0], "idle ones tell of probes and of chance");
+}
