Lay no spares that the channel cannot lay within a cooldown

Ruled out as its users: binds (2,200 lines once), drains, levels (under 300 a second). At fault: update() in brain.rs, which lays spares whenever the channel has room, however long all of them would take. Small sites are as before. Test: spares_that_the_channel_could_never_lay_in_time_do_not_fill_it; fails without the change.

--- a/crates/wingfold-director/src/brain.rs
+++ b/crates/wingfold-director/src/brain.rs
@@ -794,7 +794,9 @@
         let crowded = waiting > 0 && joins > self.ahead(ORDINARY);
         let table = &zone.slots[at].tables[group];
         let (lines, mut spares, full) = self.plan(zone, usable, &zone.slots[at], table.full);
-        spares.retain(|_, _| !crowded && zone.uses <= USES);
+        // Those that the channel can't lay within a cooldown would never be whole, and hold up all that is.
+        let laid_by = (self.proxies.len() * usable.len() * self.groups.len()) as f64 / self.set.lines_per_s;
+        spares.retain(|_, _| laid_by <= COOLDOWN_S && !crowded && zone.uses <= USES);
         let held = table.lines.keys().filter_map(|id| Some((id.clone(), spares.remove(id)?)));
         let all: Lines = lines.clone().into_iter().chain(held).collect();
         let (mut changes, mut levels) = table.differences(&all, &wanted, SAME);
--- a/crates/wingfold-director/tests/size.rs
+++ b/crates/wingfold-director/tests/size.rs
@@ -73,6 +73,29 @@
     assert!(served.len() >= 80, "the parts cover the fleet: {}", served.len());
 }
 
+#[test]
+fn spares_that_the_channel_could_never_lay_in_time_do_not_fill_it() {
+    // Guards against: a fleet many times the channel's pace, where spares take all of it from the first minute to the
+    // last, cost what orders cost, hold up what matters and are never whole.
+    let spent = |lines_per_s: f64| {
+        let set =
+            Settings { conn_idle: at(15.0), proxies: 100, lines_per_s, queue_max: 2000.0, ..settings() };
+        let mut world = World::new(set);
+        world.send(&[Event::List(ListKind::Remembered, fleet(100))]);
+        (0..100).for_each(|id| drop(world.send(&[Event::Joined(ProxyId(id), zone("east"), 2.0)])));
+        world.wait(60.0);
+        let lines = |a: &&(f64, Action)| a.0 > 10.0 && matches!(a.1, Action::SetLine(..));
+        let held: Vec<usize> = world.binds.iter().map(|bind| world.tables[&bind.1].len()).collect();
+        let served: std::collections::BTreeSet<&HostId> =
+            world.tables.values().flatten().map(|l| l.0).collect();
+        assert!(held.len() == 100 && served.len() >= 80, "{} bound, {} hosts", held.len(), served.len());
+        (world.actions.iter().filter(lines).count(), held.into_iter().max())
+    };
+    let (sent, most) = spent(1000.0);
+    assert!(sent == 0 && most < Some(50), "{sent} lines in a calm minute, {most:?} in a table");
+    assert_eq!(spent(2000.0).1, Some(100), "where it is a matter of seconds every host is listed");
+}
+
 #[test]
 fn proxies_of_much_traffic_keep_the_whole_fleet_at_listed_weight() {
     let mut world = World::new(Settings { conn_idle: at(15.0), proxies: 24, ..settings() });
