Refuse whole lists out of an older time, and those that name nobody, as failed calls

Need: discovery that misbehaves by answering. Seen in the code and by a stand-in that answers so: discovery.rs took any whole list, whatever its version, so that one out of the past brought back a host that drains (list_version 4 -> 1, no failure counted), and an empty one took every host out of every table. Change: believe() in discovery.rs refuses a whole list older than the one held three times in a row (a discovery that keeps to it was set up anew, and its list counts), and one without any host where some were listed. Both are failed calls, with their reason in the log. Tests: a_list_out_of_the_past_or_of_nobody_.. fails without it ('not seen in time: it was refused'); answers that break off halfway join the failed, garbled and silent ones in the test beside it.

--- a/crates/wingfold-node/src/discovery.rs
+++ b/crates/wingfold-node/src/discovery.rs
@@ -39,8 +39,16 @@
     Status(StatusCode),
     #[error("unreadable answer: {}", log::plain(&.0.to_string()))]
     Unreadable(#[from] serde_json::Error),
+    #[error("a whole list of version {0} where {1} is held")]
+    Older(u64, u64),
+    #[error("a whole list without any host where some are held")]
+    Empty,
 }
 
+/// Whole lists older than the one held that are refused in a row. One that comes late would undo the drains told since;
+/// a discovery that keeps to it was set up anew, and its list counts.
+const OLDER_REFUSED: u32 = 3;
+
 /// Calls to discovery keep their connection from one to the next.
 fn client(bounds: &Bounds) -> Http {
     Http::new(bounds.connect, bounds.watch, bounds.list_bytes)
@@ -60,6 +68,10 @@
     inbox: Inbox,
     book: Arc<Book>,
     version: Option<u64>,
+    /// Some host was ever listed.
+    listed: bool,
+    /// Whole lists refused in a row because they were older.
+    older: u32,
 }
 
 impl Discovery {
@@ -73,6 +85,8 @@
             pushed: !first.settings.list_on_request,
             http: client(&first.bounds),
             version: first.known.as_ref().map(|list| list.version),
+            listed: first.known.as_ref().is_some_and(|list| !list.servers.is_empty()),
+            older: 0,
             bounds: first.bounds.clone(),
             inbox,
             book,
@@ -150,9 +164,24 @@
         })
     }
 
+    /// Guards against a discovery that answers and is wrong: a whole list out of an older time, or one that names
+    /// nobody, would empty tables or bring hosts back that drain. It counts as a call that failed.
+    fn believe(&mut self, list: Listing) -> Answer {
+        match self.version {
+            Some(held) if list.full && list.version < held && self.older < OLDER_REFUSED => {
+                self.older += 1;
+                return Err(ListError::Older(list.version, held));
+            }
+            _ if list.full && list.servers.is_empty() && self.listed => return Err(ListError::Empty),
+            _ => {}
+        }
+        (self.older, self.listed) = (0, self.listed || !list.servers.is_empty());
+        Ok(list)
+    }
+
     /// Hands an answer on; false if the call failed.
     fn tell(&mut self, answer: Answer, always: bool) -> bool {
-        let list = match answer {
+        let list = match answer.and_then(|list| self.believe(list)) {
             Ok(list) => list,
             Err(error) => {
                 tracing::warn!(%error, "discovery: call failed");
--- a/crates/wingfold-standins/src/lib.rs
+++ b/crates/wingfold-standins/src/lib.rs
@@ -45,6 +45,12 @@
     Garbled,
     /// Takes calls and says nothing.
     Silent,
+    /// Breaks off inside its answer.
+    Cut,
+    /// Answers with a whole list of its first version, in which all hosts are active.
+    Past,
+    /// Answers with a whole list that names nobody.
+    Empty,
 }
 
 struct Listed {
@@ -167,6 +173,12 @@
             let left = |entry: &Value| after.is_none() && entry["state"] == "left";
             let servers: Vec<Value> = newer.map(|entry| entry.1.clone()).filter(|e| !left(e)).collect();
             let mut list = json!({"version": state.version, "full": after.is_none(), "servers": servers});
+            let active = |entry: &(u64, Value)| {
+                let mut entry = entry.1.clone();
+                entry["state"] = json!("active");
+                entry
+            };
+            let every: Vec<Value> = state.entries.values().map(active).collect();
             let (mood, piece) = (state.mood, state.piece);
             drop(state);
             let status = match mood {
@@ -174,6 +186,15 @@
                 Mood::Down => "503 Service Unavailable",
                 _ => "200 OK",
             };
+            match mood {
+                Mood::Past => list = json!({"version": 1, "full": true, "servers": every}),
+                Mood::Empty => list = json!({"version": list["version"], "full": true, "servers": []}),
+                Mood::Cut => {
+                    let _ = writer.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4000\r\n\r\n{\"version\":");
+                    return;
+                }
+                _ => {}
+            }
             if mood == Mood::Garbled {
                 list["version"] = json!(1_000_000);
                 let strange = server("s-strange", "127.0.0.1:1".parse().unwrap(), "a");
--- a/crates/wingfold/tests/relays.rs
+++ b/crates/wingfold/tests/relays.rs
@@ -73,7 +73,7 @@
     let discovery = Discovery::start(ip, vec![server("s-1", host(), "a"), server("s-2", host(), "a")]);
     let director = Plan::new(ip, discovery.addr, discovery.known()).start();
     let mut proxy = director.bound(0, "a");
-    for mood in [Mood::Down, Mood::Garbled, Mood::Silent] {
+    for mood in [Mood::Down, Mood::Garbled, Mood::Cut, Mood::Silent] {
         let before = director.figure("list_failures_total");
         discovery.mood(mood);
         until("the module is told twice", || director.figure("list_failures_total") >= before + 2);
@@ -89,6 +89,45 @@
     assert!(director.log().contains("discovery: call failed"));
 }
 
+#[test]
+fn a_list_out_of_the_past_or_of_nobody_brings_no_draining_host_back_and_empties_no_table() {
+    // Guards against: a discovery that misbehaves by answering, late and from an older time, or before it knows anybody.
+    let ip = own_ip();
+    let host = || Host::start(ip, REPORT).addr;
+    let entries = ["s-1", "s-2", "s-3"].map(|id| server(id, host(), "a"));
+    let discovery = Discovery::start(ip, entries.to_vec());
+    let director = Plan::new(ip, discovery.addr, discovery.known()).start();
+    let mut proxy = director.proxy(0, "a");
+    let mut held = Held::default();
+    held.apply(&proxy.orders());
+    discovery.turn("s-2", "leaving");
+    while held.hosts("order") != ["s-1", "s-3"] {
+        held.apply(&proxy.orders());
+    }
+    for (mood, why) in
+        [(Mood::Past, "a whole list of version 1 where 4 is held"), (Mood::Empty, "without any host")]
+    {
+        let before = director.figure("list_failures_total");
+        discovery.mood(mood);
+        // The call that waits at discovery ends first.
+        until("it was refused", || director.figure("list_failures_total") > before);
+        assert!(director.log().contains(why), "{mood:?}");
+        assert_eq!(director.figure("list_version"), 4, "{mood:?}");
+    }
+    discovery.mood(Mood::Good);
+    discovery.list(server("s-4", host(), "a"));
+    while !held.hosts("order").contains(&"s-4") {
+        held.apply(&proxy.orders());
+        assert!(held.hosts("order").starts_with(&["s-1", "s-3"]), "{:?}", held.hosts("order"));
+    }
+    // One that keeps to its older list was set up anew: the fourth time it counts.
+    discovery.mood(Mood::Past);
+    until("it is believed", || director.figure("list_version") == 1);
+    while !held.hosts("order").contains(&"s-2") {
+        held.apply(&proxy.orders());
+    }
+}
+
 #[test]
 fn discovery_that_nobody_answers_for_keeps_no_director_from_serving() {
     let ip = own_ip();
