--- a/crates/wingfold-director/tests/size.rs
+++ b/crates/wingfold-director/tests/size.rs
@@ -213,3 +213,88 @@
     }
     assert!(held.len() == 30 && world.binds.len() > 30, "proxies were moved");
 }
+
+#[test]
+fn when_six_in_ten_hosts_are_replaced_at_once_none_that_is_gone_stays_and_a_bad_newcomer_goes_alone() {
+    // Guards against: a release within seconds, during which little is heard of anybody: what is gone must leave every
+    // table, one newcomer that answers nothing must go, and the good ones beside it must not.
+    let mut world = World::running(Settings { drain_grace: at(2.0), ..settings() }, 20);
+    world.play(8.0, 10, |_, _| FINE);
+    let zone_of = |n: u32| if n.is_multiple_of(2) { "east" } else { "west" };
+    let does = |id: &str| if id == "n3" { DEAD } else { FINE };
+    for wave in [0..6, 6..12] {
+        let now = world.now;
+        let new = |n| entry(&format!("n{n}"), zone_of(n), Readiness::Ready, Some(now));
+        world.send(&[Event::List(ListKind::Changes, wave.clone().map(new).collect())]);
+        world.play(2.0, 10, |_, id| does(id));
+        let old = |n| entry(&format!("h{n}"), zone_of(n), Readiness::Draining, None);
+        world.send(&[Event::List(ListKind::Changes, wave.clone().map(old).collect())]);
+        world.wait(0.5);
+        for place in ["east", "west"] {
+            let lines = world.lines(place);
+            assert!(wave.clone().all(|n| !lines.contains_key(&host(&format!("h{n}")))), "{place}: {lines:?}");
+            let warm: f64 = (12..20).map(|n| world.weight(place, &format!("h{n}"))).sum();
+            assert!(
+                warm / lines.values().sum::<f64>() > 0.5,
+                "{place}: cold hosts carry most of it: {lines:?}"
+            );
+        }
+        world.play(1.0, 10, |_, id| does(id));
+    }
+    world.play(4.0, 10, |_, id| does(id));
+    assert_eq!(world.weight("east", "n3") + world.weight("west", "n3"), 0.0, "it answers nothing");
+    world.play(16.0, 10, |_, id| does(id));
+    for place in ["east", "west"] {
+        let lines = world.lines(place);
+        let good =
+            (0..12).filter(|n| *n != 3).map(|n| format!("n{n}")).chain((12..20).map(|n| format!("h{n}")));
+        for id in good {
+            assert_eq!(lines.get(&host(&id)), Some(&1.0), "{id} in {place}");
+        }
+        assert!(lines.keys().all(|id| !(0..12).any(|n| *id.0 == *format!("h{n}"))), "{place}: {lines:?}");
+    }
+}
+
+#[test]
+#[ignore = "a measurement: cargo test --release -p wingfold-director --test size turns -- --ignored --nocapture"]
+fn turns_at_three_sizes() {
+    for (proxies, hosts, directors) in [(320, 120, 5), (480, 200, 5), (2400, 200, 1), (10_000, 1100, 1)] {
+        let set = Settings { conn_idle: at(15.0), proxies: proxies * directors, directors, ..settings() };
+        let mut director =
+            wingfold_director::Director::new(Settings { lines_per_s: 2500.0, queue_max: 45_000.0, ..set }, 7);
+        let (mut out, mut turns, mut marks) = (Vec::new(), Vec::new(), Vec::new());
+        let mut now = 1000.0;
+        let list = Event::List(ListKind::Remembered, fleet(hosts));
+        let joins = |n: u32| Event::Joined(ProxyId(n), zone(["east", "west"][n as usize % 2]), 3.0);
+        director.handle(
+            at(now),
+            &std::iter::once(list).chain((0..proxies).map(joins)).collect::<Vec<_>>(),
+            &mut out,
+        );
+        for tick in 0..60 {
+            now += 0.25;
+            let mut events: Vec<Event> = std::mem::take(&mut marks);
+            let sums = |n: usize| {
+                heard(["east", "west"][n % 2], host(&format!("h{}", n % hosts)), 5, 0.1, Load::default())
+            };
+            events.extend((tick * 50..tick * 50 + 50).map(sums));
+            out.clear();
+            let begun = std::time::Instant::now();
+            director.handle(at(now), &events, &mut out);
+            turns.push(begun.elapsed().as_secs_f64() * 1e3);
+            let bound: Vec<ProxyId> = out
+                .iter()
+                .filter_map(|a| if let Action::Bind(p, ..) = a { Some(*p) } else { None })
+                .collect();
+            let mark = out.iter().find_map(|a| if let Action::Mark(_, n) = a { Some(*n) } else { None });
+            marks.extend(
+                mark.into_iter().flat_map(|n| bound.iter().map(move |p| Event::Applied(*p, n, at(0.3)))),
+            );
+        }
+        turns.sort_by(f64::total_cmp);
+        println!(
+            "{proxies} proxies x {hosts} hosts: a turn takes {:.2} ms, the worst {:.2} ms",
+            turns[30], turns[59]
+        );
+    }
+}
