Move the count of the channel's lines to a module of its own

Change: `Channel`, `Marked` (now `PendingMark`) and `pace` move to channel.rs unchanged; the give-up rule in `reconcile` no longer names the type. Fields keep their names, so checkpoints and captures read as before.

--- a/crates/wingfold-director/src/lib.rs
+++ b/crates/wingfold-director/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod channel;
 pub mod checkpoint;
 pub mod inspect;
 pub mod interface;
--- a/crates/wingfold-director/src/policy.rs
+++ b/crates/wingfold-director/src/policy.rs
@@ -719,9 +719,9 @@
     fn reconcile(&mut self, zones: &mut ByZone<Zone>, out: &mut Vec<Action>) {
         // Marks that nobody answers: all who had them are gone, or their words are lost.
         let due = self.set.push_delay_max.secs() + WORDLESS_S;
-        let due = |m: &Marked| due + m.open() / (CHANNEL_PACE * self.set.lines_per_s);
-        let silent = |m: &&Marked| self.now.since(self.channel.heard_at.max(m.at)) > due(m);
-        if self.channel.marks.front().filter(silent).is_some() {
+        let due = |open: f64| due + open / (CHANNEL_PACE * self.set.lines_per_s);
+        let silent = |at: Micros, open: f64| self.now.since(self.channel.heard_at.max(at)) > due(open);
+        if self.channel.marks.front().is_some_and(|mark| silent(mark.at, mark.open())) {
             self.channel.give_up(self.now);
         }
         // Who was sent nothing for longest goes first: where the channel is short none must wait for ever.
