Scale runs: sizes of the ladder, what a run may take, and its command line

No run showed how directors fare in a fleet of 480 directors and 2,700 hosts. The new crate wingfold-scale, which nothing of the product depends on, begins with the plan of such a run: the sizes of the five steps of the ladder, the processes, descriptors and memory that a run would take, and typed refusals of what would go over 300 processes, the descriptors of the process or half of the machine's memory. A wrong option, step or fault is refused with those that exist.

--- /dev/null
+++ b/crates/wingfold-scale/src/main.rs
@@ -0,0 +1,6 @@
+//! The program `wingfold-scale`.
+#![forbid(unsafe_code)]
+
+fn main() -> std::process::ExitCode {
+    wingfold_scale::cli::main()
+}
