Split the emulator's world.rs into modules with one job each

Each now has a module of its own below simulation/, and the results of a run are in results.rs. The tests only name the new paths.

--- a/crates/wingfold-lab/src/experiment.rs
+++ b/crates/wingfold-lab/src/experiment.rs
@@ -1,8 +1,9 @@
 //! Many seeds of a scenario, and what they say together.
 
+use crate::results::{Played, Served};
 use crate::rules::Margins;
 use crate::scenario::Scenario;
-use crate::world::{play, Played, Served};
+use crate::simulation::play;
 use hdrhistogram::Histogram;
 use statrs::distribution::{ContinuousCDF, StudentsT};
 use std::io;
--- a/crates/wingfold-lab/src/lib.rs
+++ b/crates/wingfold-lab/src/lib.rs
@@ -8,9 +8,11 @@
 mod host;
 mod proxy;
 pub mod report;
+pub mod results;
 pub mod rules;
 pub mod scenario;
-pub mod world;
+pub mod simulation;
 
+pub use results::Played;
 pub use scenario::Scenario;
-pub use world::{play, Played};
+pub use simulation::play;
--- a/crates/wingfold-lab/src/report.rs
+++ b/crates/wingfold-lab/src/report.rs
@@ -1,7 +1,7 @@
 //! An experiment as tables (Markdown and CSV) and a chart (SVG).
 
 use crate::experiment::{Experiment, Mean};
-use crate::world::WINDOW_S;
+use crate::results::WINDOW_S;
 use plotters::prelude::*;
 use std::fmt::Write;
 use std::io;
--- a/crates/wingfold-lab/tests/lab.rs
+++ b/crates/wingfold-lab/tests/lab.rs
@@ -30,7 +30,7 @@
 }
 
 /// Requests that had no end when the day was over: a few at most.
-fn in_flight(all: &wingfold_lab::world::Served) -> u64 {
+fn in_flight(all: &wingfold_lab::results::Served) -> u64 {
     let rest = all.asked - all.refused - all.good - all.late - all.lost;
     assert!(rest <= all.asked / 20, "{rest} of {}", all.asked);
     rest
--- a/crates/wingfold-lab/tests/silence.rs
+++ b/crates/wingfold-lab/tests/silence.rs
@@ -6,7 +6,7 @@
 use wingfold_director::Director;
 use wingfold_figures::silence::State;
 use wingfold_figures::{Figure, Interval, Meter, Value};
-use wingfold_lab::world::{play_before, Onlooker};
+use wingfold_lab::simulation::{play_before, Onlooker};
 use wingfold_lab::Scenario;
 
 /// Counts for director 0 as the engine does.
