Add a benchmark of one director's cost up to 2,700 hosts and 30 zones

Cause: the size expected in two years was reckoned and not measured: 2,700 hosts in 30 zones, 48 proxies at one director, at most 3.2 % of a core, 256 MB and 11 KB a second. Nothing showed in which dimension a director's cost grows.

Change: benches/ladder drives a director in virtual time through its start, steady reports, rest, single replaced machines and changes of configuration, a lost zone and a rolling release, over a ladder of sixteenths up to the whole, over each dimension alone, and under other readings of the target. It measures thread processor time, the worst turn, allocated memory by kind of record and the bytes that the protocol's messages would take by peer, and fits a power law to each figure. It is a bench target of its own and no test is timed.

--- /dev/null
+++ b/crates/wingfold-director/benches/ladder/fleet.rs
@@ -0,0 +1,159 @@
+//! A fleet of hosts and proxies that produces the events of one director.
+
+use crate::sizes::{self, Size, REQUESTS_PER_PROXY};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use wingfold_director::interface::{
+    ClassId, Entry, Event, HostId, ListKind, Load, Micros, ProxyId, Readiness, Sums, ZoneId,
+};
+
+/// Turns of a director in a second of virtual time.
+pub const TURNS_PER_S: u32 = 4;
+/// Tries in one line of sums.
+const TRIES: u64 = 5;
+
+/// The hosts and proxies around one director.
+pub struct Fleet {
+    size: Size,
+    hosts: Vec<Entry>,
+    names_given: u32,
+    down: BTreeSet<usize>,
+    /// Hosts that half of the sums are about, as proxies meet failing hosts again and again.
+    focus: Vec<usize>,
+    sums_told: usize,
+    usage_told: u32,
+}
+
+impl Fleet {
+    /// A fleet whose hosts have all been up for long.
+    pub fn new(size: Size) -> Self {
+        let mut fleet = Fleet {
+            size,
+            hosts: Vec::new(),
+            names_given: 0,
+            down: BTreeSet::new(),
+            focus: Vec::new(),
+            sums_told: 0,
+            usage_told: 0,
+        };
+        for index in 0..size.hosts {
+            let entry = fleet.new_host(index, None);
+            fleet.hosts.push(entry);
+        }
+        fleet
+    }
+
+    /// How many hosts there are.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// The whole list.
+    pub fn whole_list(&self) -> Event {
+        Event::List(ListKind::Remembered, self.hosts.clone())
+    }
+
+    /// Every proxy joins.
+    pub fn joins(&self) -> Vec<Event> {
+        let join = |proxy| Event::Joined(ProxyId(proxy), self.zone_of_proxy(proxy), REQUESTS_PER_PROXY);
+        (0..self.size.proxies).map(join).collect()
+    }
+
+    /// One turn's share of the sums of tries and of the usage of proxies.
+    pub fn reports(&mut self) -> Vec<Event> {
+        let sums = (self.size.sums_per_s / TURNS_PER_S).max(1);
+        let usage = (self.size.proxies * self.size.classes).div_ceil(TURNS_PER_S);
+        let mut events: Vec<Event> = (0..sums).map(|_| self.next_sums()).collect();
+        events.extend((0..usage).map(|_| self.next_usage()));
+        events
+    }
+
+    /// Replaces a host: the old machine drains and a new one starts.
+    pub fn replace(&mut self, index: usize, now: Micros) -> Vec<Entry> {
+        let old = Entry { readiness: Readiness::Draining, ..self.hosts[index].clone() };
+        self.hosts[index] = self.new_host(index as u32, Some(now));
+        vec![old, self.hosts[index].clone()]
+    }
+
+    /// Changes the listed weight of a host.
+    pub fn reconfigure(&mut self, index: usize) -> Vec<Entry> {
+        let entry = &mut self.hosts[index];
+        entry.weight = if entry.weight > 1.0 { 1.0 } else { 2.0 };
+        vec![entry.clone()]
+    }
+
+    /// Every host of the first zone falls silent.
+    pub fn lose_zone(&mut self) {
+        let lost = sizes::zone(0);
+        let hosts = self.hosts.iter().enumerate().filter(|(_, entry)| entry.zone == lost);
+        self.focus = hosts.map(|(index, _)| index).collect();
+        self.down = self.focus.iter().copied().collect();
+    }
+
+    /// The list drops the hosts that are down.
+    pub fn list_without_lost(&self) -> Vec<Entry> {
+        let gone = |index: &usize| Entry { readiness: Readiness::Gone, ..self.hosts[*index].clone() };
+        self.down.iter().map(gone).collect()
+    }
+
+    /// The hosts that were down are back, started just now.
+    pub fn return_zone(&mut self, now: Micros) -> Vec<Entry> {
+        self.focus.clear();
+        let back = std::mem::take(&mut self.down);
+        back.into_iter().map(|index| self.restarted(index, now)).collect()
+    }
+
+    fn restarted(&mut self, index: usize, now: Micros) -> Entry {
+        self.hosts[index].started = Some(now);
+        self.hosts[index].clone()
+    }
+
+    fn new_host(&mut self, index: u32, started: Option<Micros>) -> Entry {
+        let name = format!("s-{:08x}", self.names_given.wrapping_mul(0x9E37_79B1));
+        self.names_given += 1;
+        Entry {
+            host: HostId(Arc::from(name)),
+            kind: sizes::kind(index / self.size.zones % sizes::KINDS),
+            zone: sizes::zone(index % self.size.zones),
+            readiness: Readiness::Ready,
+            weight: 1.0,
+            started,
+        }
+    }
+
+    fn zone_of_proxy(&self, proxy: u32) -> ZoneId {
+        sizes::zone(if self.size.zone_local { 0 } else { proxy % self.size.zones })
+    }
+
+    /// The next pair of a zone with proxies and a host: each pair has its turn.
+    fn next_sums(&mut self) -> Event {
+        let turn = self.sums_told;
+        self.sums_told += 1;
+        let zones = if self.size.zone_local { 1 } else { self.size.zones.min(self.size.proxies) as usize };
+        let (zone, round) = (turn % zones, turn / zones);
+        let focused = !self.focus.is_empty() && round.is_multiple_of(2);
+        let index = match focused {
+            true => self.focus[round / 2 % self.focus.len()],
+            false => (round + zone * self.hosts.len() / zones) % self.hosts.len(),
+        };
+        self.sums(sizes::zone(zone as u32), index)
+    }
+
+    fn sums(&self, zone: ZoneId, index: usize) -> Event {
+        let down = self.down.contains(&index);
+        let lost = if down { TRIES } else { 0 };
+        let mean = if down { 0.0 } else { 0.1 };
+        let load = Load { in_hand: Some(7.0), busy: Some(0.4), ..Load::default() };
+        let load = if down || self.size.probes { Load::default() } else { load };
+        let sums = Sums { total: TRIES, lost, over: Micros::from_secs(1.0) };
+        Event::Heard(zone, self.hosts[index].host.clone(), sums, Micros::from_secs(mean), load)
+    }
+
+    fn next_usage(&mut self) -> Event {
+        let turn = self.usage_told;
+        self.usage_told += 1;
+        let (proxy, class) = (turn / self.size.classes % self.size.proxies, turn % self.size.classes);
+        let sums = Sums { total: 2, lost: 0, over: Micros::from_secs(1.0) };
+        Event::Usage(ProxyId(proxy), ClassId(class as usize), sums)
+    }
+}
--- /dev/null
+++ b/crates/wingfold-director/benches/ladder/scenario.rs
@@ -0,0 +1,226 @@
+//! What a director of one size is put through, phase by phase.
+
+use crate::fleet::TURNS_PER_S;
+use crate::measure::{Driver, Phase, Reports};
+use crate::memory;
+use crate::sizes::{Size, CONFIGURED_A_DAY, REPLACED_A_DAY, TARGET};
+use serde::Serialize;
+use wingfold_director::interface::{Entry, Event, ListKind, Readiness};
+
+/// Seconds in a day.
+const DAY_S: f64 = 86_400.0;
+/// Single changes that are played to learn what one costs, one a second.
+const SINGLE_CHANGES: u32 = 4;
+/// Seconds from a host's draining until the list drops it.
+const DRAINED_AFTER_S: u32 = 3;
+
+/// Length of each phase in seconds of virtual time; 0 leaves it out.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Lengths {
+    pub start: u32,
+    pub settle: u32,
+    pub reports: u32,
+    pub rest: u32,
+    pub replaced: u32,
+    pub configured: u32,
+    pub zone_lost: u32,
+    pub release: u32,
+}
+
+impl Lengths {
+    /// Every phase, long enough to see what a change does afterwards.
+    pub const FULL: Lengths = Lengths {
+        start: 30,
+        settle: 6,
+        reports: 8,
+        rest: 8,
+        replaced: 16,
+        configured: 8,
+        zone_lost: 24,
+        release: 24,
+    };
+    /// Every phase, for a look.
+    pub const QUICK: Lengths = Lengths {
+        start: 6,
+        settle: 2,
+        reports: 2,
+        rest: 2,
+        replaced: 6,
+        configured: 5,
+        zone_lost: 6,
+        release: 6,
+    };
+    /// The start and the steady state only.
+    pub const STEADY: Lengths =
+        Lengths { start: 10, replaced: 0, configured: 0, zone_lost: 0, release: 0, ..Lengths::FULL };
+    /// The same, for a look.
+    pub const STEADY_QUICK: Lengths = Lengths { start: 4, settle: 1, reports: 2, rest: 2, ..Lengths::STEADY };
+}
+
+/// What one size cost.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// What it is called.
+    pub label: String,
+    /// The size.
+    pub size: Size,
+    /// Its phases, in their order.
+    pub phases: Vec<Phase>,
+    /// Bytes that the director holds after the start and at the end.
+    pub allocated_after_start: usize,
+    pub allocated_at_end: usize,
+    /// Hosts, paths, lines, proxies and messages kept after the start.
+    pub records: [usize; 5],
+    /// Bytes of a checkpoint after the start.
+    pub checkpoint_bytes: usize,
+}
+
+impl Outcome {
+    /// A phase, where it was played.
+    pub fn phase(&self, name: &str) -> Option<&Phase> {
+        self.phases.iter().find(|phase| phase.name == name)
+    }
+
+    /// Processor seconds that one change of a phase costs beyond the steady state.
+    pub fn cost_of_one(&self, name: &str) -> Option<f64> {
+        let (phase, steady) = (self.phase(name)?, self.phase("reports")?);
+        Some((phase.cpu_s - steady.core() * phase.virtual_s) / f64::from(SINGLE_CHANGES))
+    }
+
+    /// Share of a core that a day's replaced machines and configuration changes cost beyond the steady state.
+    pub fn churn_core(&self) -> Option<f64> {
+        let scale = f64::from(self.size.hosts) / f64::from(TARGET.hosts);
+        let replaced = REPLACED_A_DAY * self.cost_of_one("replaced")?;
+        let configured = CONFIGURED_A_DAY * self.cost_of_one("configured")?;
+        Some(scale * (replaced + configured) / DAY_S)
+    }
+}
+
+/// Puts a director of this size through all phases that have a length.
+pub fn run(label: &str, size: Size, lengths: Lengths) -> Outcome {
+    let mut driver = Driver::new(size);
+    let mut phases = vec![start(&mut driver, lengths.start)];
+    let (records, checkpoint_bytes) = (driver.director.records(), driver.director.checkpoint().len());
+    let allocated_after_start = memory::of_director(&driver.director);
+    type Play = fn(&mut Driver, u32) -> Phase;
+    let others: [(u32, Play); 7] = [
+        (lengths.settle, settle),
+        (lengths.reports, reports),
+        (lengths.rest, rest),
+        (lengths.replaced, replaced),
+        (lengths.configured, configured),
+        (lengths.zone_lost, zone_lost),
+        (lengths.release, release),
+    ];
+    for (seconds, play) in others.into_iter().filter(|(seconds, _)| *seconds > 0) {
+        phases.push(play(&mut driver, seconds));
+    }
+    let allocated_at_end = memory::of_director(&driver.director);
+    Outcome {
+        label: label.into(),
+        size,
+        phases,
+        allocated_after_start,
+        allocated_at_end,
+        records,
+        checkpoint_bytes,
+    }
+}
+
+/// The list and all proxies come in the first turn.
+fn start(driver: &mut Driver, seconds: u32) -> Phase {
+    driver.play("start", seconds, Reports::Arrive, |fleet, turn, _| {
+        let joins = || std::iter::once(fleet.whole_list()).chain(fleet.joins()).collect();
+        if turn == 0 {
+            joins()
+        } else {
+            Vec::new()
+        }
+    })
+}
+
+fn settle(driver: &mut Driver, seconds: u32) -> Phase {
+    driver.play("settle", seconds, Reports::Arrive, |_, _, _| Vec::new())
+}
+
+fn reports(driver: &mut Driver, seconds: u32) -> Phase {
+    driver.play("reports", seconds, Reports::Arrive, |_, _, _| Vec::new())
+}
+
+fn rest(driver: &mut Driver, seconds: u32) -> Phase {
+    driver.play("rest", seconds, Reports::None, |_, _, _| Vec::new())
+}
+
+/// Single machines are replaced; the rest of the phase is what follows.
+fn replaced(driver: &mut Driver, seconds: u32) -> Phase {
+    let mut drained: Vec<(u32, Entry)> = Vec::new();
+    driver.play("replaced", seconds, Reports::Arrive, |fleet, turn, now| {
+        let mut entries = Vec::new();
+        if turn % TURNS_PER_S == 0 && turn / TURNS_PER_S < SINGLE_CHANGES {
+            entries.extend(fleet.replace((turn / TURNS_PER_S) as usize, now));
+            drained.push((turn, entries[0].clone()));
+        }
+        entries.extend(gone(&mut drained, turn));
+        changes(entries)
+    })
+}
+
+/// The listed weight of single hosts changes.
+fn configured(driver: &mut Driver, seconds: u32) -> Phase {
+    driver.play("configured", seconds, Reports::Arrive, |fleet, turn, _| {
+        match turn % TURNS_PER_S == 0 && turn / TURNS_PER_S < SINGLE_CHANGES {
+            true => changes(fleet.reconfigure((SINGLE_CHANGES + turn / TURNS_PER_S) as usize)),
+            false => Vec::new(),
+        }
+    })
+}
+
+/// A zone is lost, the list drops its hosts after a third of the phase, and they are back, cold, after two thirds.
+fn zone_lost(driver: &mut Driver, seconds: u32) -> Phase {
+    let third = (seconds * TURNS_PER_S / 3).max(1);
+    driver.play("zone lost", seconds, Reports::Arrive, |fleet, turn, now| {
+        if turn == 0 {
+            fleet.lose_zone();
+        }
+        match turn {
+            at if at == third => changes(fleet.list_without_lost()),
+            at if at == 2 * third => changes(fleet.return_zone(now)),
+            _ => Vec::new(),
+        }
+    })
+}
+
+/// Half of the hosts are replaced in the first two thirds of the phase, as many each second.
+fn release(driver: &mut Driver, seconds: u32) -> Phase {
+    let hosts = driver.fleet.len();
+    let waves = (2 * seconds / 3).max(1) as usize;
+    let mut drained: Vec<(u32, Entry)> = Vec::new();
+    driver.play("release", seconds, Reports::Arrive, |fleet, turn, now| {
+        let mut entries = Vec::new();
+        let wave = (turn / TURNS_PER_S) as usize;
+        if turn % TURNS_PER_S == 0 && wave < waves {
+            for index in (hosts / 2 * wave / waves)..(hosts / 2 * (wave + 1) / waves) {
+                let both = fleet.replace(2 * index, now);
+                drained.push((turn, both[0].clone()));
+                entries.extend(both);
+            }
+        }
+        entries.extend(gone(&mut drained, turn));
+        changes(entries)
+    })
+}
+
+/// The hosts whose draining is over: the list drops them.
+fn gone(drained: &mut Vec<(u32, Entry)>, turn: u32) -> Vec<Entry> {
+    let over = drained.iter().take_while(|(since, _)| turn >= since + DRAINED_AFTER_S * TURNS_PER_S).count();
+    let gone = |(_, entry): (u32, Entry)| Entry { readiness: Readiness::Gone, ..entry };
+    drained.drain(..over).map(gone).collect()
+}
+
+/// The event for changed entries; none for no change.
+fn changes(entries: Vec<Entry>) -> Vec<Event> {
+    match entries.is_empty() {
+        true => Vec::new(),
+        false => vec![Event::List(ListKind::Changes, entries)],
+    }
+}
