--- a/crates/wingfold-director/src/channel.rs
+++ b/crates/wingfold-director/src/channel.rs
@@ -89,3 +89,17 @@
         }
     }
 }
+
+impl Director {
+    /// Books the messages of one answer, with a mark in each once more than `most` lines have gone without one.
+    pub(crate) fn close_answer(&mut self, most: f64, out: &mut Vec<Action>) {
+        let sending = std::mem::take(&mut self.sending);
+        let unmarked = self.channel.unmarked + sending.values().sum::<f64>();
+        let marked = unmarked > most && !sending.is_empty();
+        if marked {
+            self.channel.number = (self.channel.number + 1) % 65_536;
+            out.push(Action::Mark(false, self.channel.number));
+        }
+        self.channel.ordered(self.now, sending, marked);
+    }
+}
--- a/crates/wingfold-director/src/inspect.rs
+++ b/crates/wingfold-director/src/inspect.rs
@@ -160,13 +160,14 @@
 
     /// Every zone.
     pub fn zone_views(&self) -> Vec<ZoneView> {
+        let classes = || 0..self.set.classes.len();
         let view = |(name, zone): (&ZoneId, &Zone)| ZoneView {
             zone: name.clone(),
             usual_loss: zone.usual,
             lead: self.lead(zone),
             moved_at: zone.moved_at,
             proxies: self.proxies_of(name).count(),
-            levels: (0..self.set.classes.len()).map(|class| self.level(name, class)).collect(),
+            levels: classes().map(|class| self.level(name, class, self.share(class))).collect(),
         };
         self.zones.iter().map(view).collect()
     }
@@ -253,7 +254,7 @@
             confirmed: path.confirmed,
             lost_in_row: path.streak,
             useless_in_row: known.row,
-            missed: path.missed + (owner.heard.0 - path.seen.0) * path.part,
+            missed: path.missed_by(owner.heard.0),
             busy: known.busy,
             started: known.entry.started,
             warmth: self.warmth(known),
--- a/crates/wingfold-director/src/policy.rs
+++ b/crates/wingfold-director/src/policy.rs
@@ -18,7 +18,7 @@
 /// laggard halves: down to a quarter (design page).
 const CONFIRM: u32 = 3;
 const ROUND_S: f64 = 2.0;
-const COOLDOWN_S: f64 = 8.0;
+pub(crate) const COOLDOWN_S: f64 = 8.0;
 const LOWEST_STEP: u32 = 2;
 /// Fresh tries that make a figure; a zone's own tries weigh against all zones' mean as if that had PRIOR.
 const ENOUGH: f64 = 6.0;
@@ -37,7 +37,7 @@
 const COMMON_LOSS: f64 = 0.1;
 /// Tries expected of a host without a line that count as silence (chance leaves 1 in 1000), if the other
 /// hosts have each been heard of this often meanwhile: lines may wait their turn.
-const SILENT_TRIES: f64 = 7.0;
+pub(crate) const SILENT_TRIES: f64 = 7.0;
 const SILENT_TURNS: f64 = 3.0;
 /// First stay outside, doubling up to the longest; then a trial of at most this long at this weight.
 const OUT_S: f64 = 4.0;
@@ -135,12 +135,13 @@
         let looks = self.now >= self.next_tick || std::mem::take(&mut self.urgent);
         if self.set.slices == 0 && looks {
             self.ask(out);
+            self.follow_warmth();
             let mut zones = std::mem::take(&mut self.zones);
-            zones.iter_mut().for_each(|(name, zone)| self.judge(name, zone));
+            self.judge_changed(&mut zones);
             if self.now >= self.next_round {
                 self.forget(&mut zones, FORGET_S, out);
                 self.hush(SILENT_TRIES, SILENT_TURNS);
-                self.round(&mut zones);
+                self.round_if_heard(&mut zones);
                 self.localize(&mut zones);
                 self.next_round = self.after(ROUND_S.max(self.set.report_period.secs()));
             }
@@ -155,7 +156,7 @@
                 out.extend(ready.into_iter().filter(|_| self.chance() < part).map(Action::Probe));
                 self.next_level = self.after(LEVEL_S);
             }
-            zones.iter_mut().for_each(|(name, zone)| self.deal(name, zone));
+            self.deal_changed(&mut zones);
             self.reconcile(&mut zones, out);
             self.zones = zones;
         }
@@ -168,6 +169,7 @@
 
     // ---- 2. Fleet view -----------------------------------------------------------------------------------
     fn take(&mut self, event: &Event) {
+        self.note_change(event);
         match event {
             Event::List(kind, entries) => self.list(*kind, entries),
             Event::ListFailed => {
@@ -289,8 +291,10 @@
         path.bad = path.bad * fade + lost;
         path.streak = if lost == tries { path.streak + lost } else { 0.0 };
         let useless = f64::from(u8::from(late || lost == tries));
+        let before = known.row;
         (path.row, known.row) = (useless * (path.row + tries), useless * (known.row + tries));
         path.faded_at = self.now;
+        self.derived.heard(&mut zone.derived, (before >= ENOUGH) != (known.row >= ENOUGH));
     }
 
     fn loaded(&mut self, host: &HostId, load: &Load) {
@@ -300,22 +304,20 @@
     }
 
     // ---- 4. Ranking: the design --------------------------------------------------------------------------
-    fn round(&mut self, zones: &mut ByZone<Zone>) {
-        let mut whole: BTreeMap<HostId, Tally> = BTreeMap::new();
-        for (id, Path { sum, .. }) in zones.values().flat_map(|zone| &zone.paths) {
-            whole.entry(id.clone()).or_default().add(*sum);
-        }
+    /// Makes new figures of what was heard; gives whether there were any.
+    pub(crate) fn round(&mut self, zones: &mut ByZone<Zone>) -> bool {
+        let mut whole = sums_by_host(zones);
         let heard = || whole.values().filter(|t| t.tries >= 3.0);
         self.loss = median(heard().map(|t| t.lost / t.tries)).unwrap_or(0.0);
         self.latency = median(heard().filter_map(Tally::mean_ms));
+        // Too few tries must not confirm noise; a zone that heard little leans on the others.
+        whole.retain(|_, all| all.tries >= ENOUGH);
         for (name, zone) in zones.iter_mut() {
-            for (id, path) in &mut zone.paths {
-                let (all, own) = (whole[id], path.sum);
-                // Too few tries must not confirm noise; a zone that heard little leans on the others.
-                path.fresh = all.tries >= ENOUGH;
-                if !path.fresh {
-                    continue;
-                }
+            zone.paths.values_mut().for_each(|path| path.fresh = false);
+            for (id, all) in &whole {
+                let Some(path) = zone.paths.get_mut(id) else { continue };
+                path.fresh = true;
+                let own = path.sum;
                 let loss = (own.lost + PRIOR * all.lost / all.tries) / (own.tries + PRIOR);
                 path.loss += 0.5 * (loss - path.loss);
                 if let Some(mean) = all.mean_ms() {
@@ -325,15 +327,16 @@
                 path.score = path.latency.map(|ms| ms + LOSS_MS * 100.0 * path.loss);
                 path.sum = Tally::default();
             }
-            self.rank(name, zone);
+            self.rank(name, zone, &whole);
         }
+        !whole.is_empty()
     }
 
     /// The score at which half of an owner's listed weight is reached: what its leading group is measured by.
     pub(crate) fn lead(&self, zone: &Zone) -> Option<f64> {
         let mut scored: Vec<(f64, f64)> = Vec::new();
-        for (id, host) in self.ready() {
-            let path = zone.paths.get(id).filter(|p| p.state == Health::In);
+        for (_, host, path) in paired(&self.fleet, &zone.paths).filter(|(_, host, _)| host.ready()) {
+            let path = path.filter(|p| p.state == Health::In);
             scored.extend(path.and_then(|p| Some((p.score?, host.weight))));
         }
         scored.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -345,16 +348,17 @@
         scored.iter().find(reached).map(|s| s.0)
     }
 
-    /// Moves hosts of one owner in and out of its leading group.
-    fn rank(&mut self, name: &ZoneId, zone: &mut Zone) {
+    /// Moves those of one owner's hosts that have fresh figures in and out of its leading group.
+    fn rank(&mut self, name: &ZoneId, zone: &mut Zone, fresh: &BTreeMap<HostId, Tally>) {
         // If all exits fail the order stays (design page): losses that most hosts share say nothing of one.
-        if zone.usual >= COMMON_LOSS {
+        if zone.usual >= COMMON_LOSS || fresh.is_empty() {
             return;
         }
         let Some(lead) = self.lead(zone) else { return };
         let cooled = zone.moved_at.is_none_or(|at| self.now.since(at) >= COOLDOWN_S);
         let aim = self.tightest_aim_ms();
-        for (id, path) in zone.paths.iter_mut().filter(|(_, p)| p.fresh && p.state == Health::In) {
+        for id in fresh.keys() {
+            let Some(path) = zone.paths.get_mut(id).filter(|p| p.state == Health::In) else { continue };
             let Some(score) = path.score else { continue };
             let margin = MARGIN_MS.max(MARGIN_SHARE * score).max(AIM_MARGIN * aim);
             let lags = score >= lead + margin && path.step < LOWEST_STEP;
@@ -364,6 +368,7 @@
                 path.step = if lags { path.step + 1 } else { path.step - 1 };
                 path.confirmed = 0;
                 zone.moved_at = Some(self.now);
+                zone.derived.moved();
                 let what = format!("{} from {}: score {score:.0} against {lead:.0}", id.0, name.0);
                 self.notes.push(format!("{what}, weight / {}", 1 << path.step));
             }
@@ -374,9 +379,9 @@
     /// hosts, and to more again by steps once losses are gone. Harm: less choice if they have another cause.
     fn tighten(&mut self, name: &ZoneId, zone: &mut Zone) {
         // One that has just started has heard of a few hosts only, and those are the ones that fail.
-        let heard = zone.paths.values().filter(|path| path.good + path.bad >= 2.0).count() as f64;
-        let told = self.load > 0.0 && heard >= SAMPLE.min(TOLD_OF * self.ready().count() as f64);
-        let short = told && (COMMON_LOSS..1.0).contains(&zone.usual) && self.load < BUSY_MOST;
+        let heard = || zone.paths.values().filter(|path| path.good + path.bad >= 2.0).count() as f64;
+        let told = || self.load > 0.0 && heard() >= SAMPLE.min(TOLD_OF * self.ready().count() as f64);
+        let short = (COMMON_LOSS..1.0).contains(&zone.usual) && self.load < BUSY_MOST && told();
         let before = zone.uses.max(USES);
         let calm = zone.usual < COMMON_LOSS / 5.0 && before > USES;
         zone.confirmed = if calm { (zone.confirmed + 1) % (2 * CONFIRM) } else { 0 };
@@ -392,8 +397,9 @@
     /// leaves no zone's hosts far more than their part of the work; a busy or thinned-out zone spreads out.
     fn localize(&self, zones: &mut ByZone<Zone>) {
         let (mut parts, mut work, mut room) = (ByZone::new(), 0.0, 0.0);
+        let homes = self.by_home();
         for (name, zone) in zones.iter().filter(|_| self.set.cross_zone_price > 0.0) {
-            let own = || self.fleet.iter().filter(|(_, h)| h.entry.zone == *name);
+            let own = || homes.get(name).into_iter().flatten().copied();
             let taken = |id| zone.paths.get(id).is_none_or(|p| p.state == Health::In);
             let open = own().filter(|(id, h)| h.ready() && taken(id));
             let capacity: f64 = open.map(|(_, h)| h.weight * self.warmth(h)).sum();
@@ -424,46 +430,62 @@
     // ---- 5. Health ---------------------------------------------------------------------------------------
     /// The fast path: takes out what loses, swallows or long delays requests, zone by zone (one that is cut
     /// off must not withdraw a host for all, nor judge each host beyond by itself), and tries it again later.
-    fn judge(&mut self, name: &ZoneId, zone: &mut Zone) {
+    pub(crate) fn judge(&mut self, name: &ZoneId, zone: &mut Zone) {
+        zone.meet(&self.fleet);
         zone.usual = self.usual_loss(zone);
-        let (usual, (tries, turns)) = (zone.usual, zone.heard);
         let cut = self.cut(name, zone, SILENT_TRIES);
-        for (id, host) in self.fleet.iter().filter(|(_, host)| host.ready()) {
-            let path = zone.paths.entry(id.clone()).or_default();
-            // Two witnesses are enough: the list says gone, and nothing comes back.
-            let dead = host.doubted && path.streak >= 1.0;
-            // Few tries of one zone tell little; those of all do, once the zone has seen the like itself. Not
-            // where levels are ignored: nothing relieves the others of what they get then, and a jam spreads.
-            let calm = self.load < BUSY_MOST && self.set.admission != Admission::Ignored;
-            let seen = path.row > 0.0 && usual < COMMON_LOSS && calm;
-            let useless = seen && host.row >= ENOUGH || cut.contains(&host.entry.zone);
-            let lossy = path.streak >= OUT_LOST && usual.powf(path.streak) < OUT_CHANCE;
-            // Silence is measured by what others reported: sums that are late for all are silence of none.
-            let missed = path.missed + (tries - path.seen.0) * path.part;
-            let turns = turns - path.seen.1;
-            let silent = missed >= SILENT_TRIES && turns >= SILENT_TURNS && usual < COMMON_LOSS;
-            match path.state {
-                Health::In if dead || useless || lossy || silent => {
-                    let (lost, row) = (path.streak, host.row);
-                    let why = format!("{lost:.0} lost in a row, {missed:.0} missed, {row:.0} useless in all");
-                    self.notes.push(format!("{} out for {}: {why}", id.0, name.0));
+        let mut verdicts: Vec<(HostId, f64, Verdict)> = Vec::new();
+        for (id, host, path) in paired(&self.fleet, &zone.paths).filter(|(_, host, _)| host.ready()) {
+            let verdict = path.and_then(|path| self.verdict(zone, host, path, &cut));
+            verdicts.extend(verdict.map(|verdict| (id.clone(), host.row, verdict)));
+        }
+        for (id, row, verdict) in verdicts {
+            let Some(path) = zone.paths.get_mut(&id) else { continue };
+            match verdict {
+                Verdict::Out => {
+                    let (lost, missed) = (path.streak, path.missed_by(zone.heard.0));
+                    let (host, counts) = (&id.0, format!("{lost:.0} lost in a row, {missed:.0} missed"));
+                    self.notes.push(format!("{host} out for {}: {counts}, {row:.0} useless in all", name.0));
                     (path.stay_s, path.state) = (OUT_S, Health::Out(self.after(OUT_S)));
                 }
-                Health::Out(until) if self.now >= until && !host.doubted => {
-                    path.anew(Health::Trial(self.after(TRIAL_S)), 0);
-                }
-                Health::Trial(_) if path.row >= 2.0 => {
+                Verdict::OutAgain => {
                     path.stay_s = (2.0 * path.stay_s).min(OUT_LONGEST_S);
                     path.state = Health::Out(self.after(path.stay_s));
                 }
-                Health::Trial(until)
-                    if self.now >= until || path.good >= if path.new { 1.0 } else { 2.0 } =>
-                {
+                Verdict::Trial => path.anew(Health::Trial(self.after(TRIAL_S)), 0),
+                Verdict::Back => {
                     path.anew(Health::In, if path.new { 0 } else { LOWEST_STEP });
                     self.notes.push(format!("{} is back for {}", id.0, name.0));
                 }
-                _ => {}
             }
+            zone.derived.moved();
+        }
+    }
+
+    /// Whether losses of a host in all zones count in each: not where levels are ignored, since nothing then
+    /// relieves the others of what they get, and a jam spreads.
+    pub(crate) fn calm(&self) -> bool {
+        self.load < BUSY_MOST && self.set.admission != Admission::Ignored
+    }
+
+    /// What becomes of a host in a zone, if that changes now.
+    fn verdict(&self, zone: &Zone, host: &Host, path: &Path, cut: &BTreeSet<ZoneId>) -> Option<Verdict> {
+        let (usual, (tries, turns)) = (zone.usual, zone.heard);
+        // Two witnesses are enough: the list says gone, and nothing comes back.
+        let dead = host.doubted && path.streak >= 1.0;
+        // Few tries of one zone tell little; those of all do, once the zone has seen the like itself.
+        let seen = path.row > 0.0 && usual < COMMON_LOSS && self.calm();
+        let useless = seen && host.row >= ENOUGH || cut.contains(&host.entry.zone);
+        let lossy = path.streak >= OUT_LOST && usual.powf(path.streak) < OUT_CHANCE;
+        // Silence is measured by what others reported: sums that are late for all are silence of none.
+        let unheard = path.missed_by(tries) >= SILENT_TRIES && turns - path.seen.1 >= SILENT_TURNS;
+        let silent = unheard && usual < COMMON_LOSS;
+        let answers = if path.new { 1.0 } else { 2.0 };
+        match path.state {
+            Health::In => (dead || useless || lossy || silent).then_some(Verdict::Out),
+            Health::Out(until) => (self.now >= until && !host.doubted).then_some(Verdict::Trial),
+            Health::Trial(_) if path.row >= 2.0 => Some(Verdict::OutAgain),
+            Health::Trial(until) => (self.now >= until || path.good >= answers).then_some(Verdict::Back),
         }
     }
 
@@ -471,9 +493,8 @@
     /// where next to none answers (panic threshold): the observer, its zone or an overload is likelier then.
     fn usual_loss(&self, zone: &Zone) -> f64 {
         let (mut staying, mut total, mut losses) = (0.0, 0.0, Vec::new());
-        for (id, host) in self.ready() {
+        for (_, host, path) in paired(&self.fleet, &zone.paths).filter(|(_, host, _)| host.ready()) {
             total += host.weight;
-            let path = zone.paths.get(id);
             if path.is_none_or(|p| p.state == Health::In && p.streak < OUT_LOST) {
                 staying += host.weight;
                 let heard = path.filter(|p| p.good + p.bad >= 2.0);
@@ -555,25 +576,28 @@
                 let same = self.fleet.values_mut().filter(|host| host.entry.kind == kind);
                 same.for_each(|host| host.weight *= now / was);
                 (self.sized_at, _) = (Some(self.now), self.speeds.insert(kind, now));
+                self.derived.revisions.fleet += 1;
             }
         }
     }
 
     /// The share of a class that is let in. What is worth least for its work, by its aim, goes first.
-    fn share(&self, class: usize) -> f64 {
+    pub(crate) fn share(&self, class: usize) -> f64 {
+        if self.admitted >= 1.0 {
+            return 1.0;
+        }
         let worth = |at: usize| self.set.classes[at].worth / self.set.classes[at].aim.secs();
         let rates = |at: usize| self.proxies.values().filter_map(move |p| p.usage.get(&ClassId(at)));
         let work = |at: usize| rates(at).sum::<f64>() * self.set.classes[at].aim.secs();
         let all = 0..self.set.classes.len();
         let total: f64 = all.clone().map(work).sum();
         let before: f64 = all.filter(|at| worth(*at) > worth(class)).map(work).sum();
-        let total = if self.admitted >= 1.0 || total <= 0.0 { f64::INFINITY } else { total };
+        let total = if total <= 0.0 { f64::INFINITY } else { total };
         ((self.admitted * total - before) / work(class).max(1e-9)).clamp(LEAST_LEVEL, 1.0)
     }
 
-    /// The level of a class in a zone's tables.
-    pub(crate) fn level(&self, zone: &ZoneId, class: usize) -> f64 {
-        let share = self.share(class);
+    /// The level of a class in a zone's tables, by the share of it that is let in.
+    pub(crate) fn level(&self, zone: &ZoneId, class: usize, share: f64) -> f64 {
         match self.set.admission {
             Admission::Share => (share * 20.0).round() / 20.0,
             Admission::Rate if share < 1.0 => self.cap(zone, ClassId(class), share).unwrap_or(NO_LIMIT),
@@ -587,7 +611,7 @@
     /// little that most connections would close before they are used again: handshakes then eat the hosts'
     /// capacity, and each slot gets an arc of the ring, as long as its part of the work, at listed weight and
     /// all others as spares. Arcs cover the ring evenly; short ones start elsewhere with each director.
-    fn deal(&mut self, name: &ZoneId, zone: &mut Zone) {
+    pub(crate) fn deal(&mut self, name: &ZoneId, zone: &mut Zone) {
         let (count, total) = self.proxies_of(name).fold((0.0, 1e-9), |(n, all), p| (n + 1.0, all + p.1.rate));
         let hosts: f64 = self.ready().map(|(_, h)| zone.near(name, h)).sum();
         let wanted = (total / count * self.set.conn_idle.secs() / zone.uses.max(USES)).max(LEAST_HOSTS);
@@ -600,6 +624,7 @@
         if zone.uses > USES && !zone.fine && hosts / slots(SHARED_BY) > 2.0 * LEAST_HOSTS {
             zone.fine = true;
             self.proxies.values_mut().filter(|p| p.zone == *name).for_each(|p| p.moves = true);
+            self.derived.revisions.proxies += 1;
         }
         let slots = slots(if zone.fine { FINE } else { SHARED_BY }) as usize;
         while zone.slots.len() < slots {
@@ -635,65 +660,59 @@
     }
 
     /// The hosts that a zone's proxies may use for a group of classes.
-    fn usable(&self, name: &ZoneId, zone: &Zone, group: usize) -> Vec<Line> {
-        let (mut lines, mut ends) = (Vec::new(), [0.0, 0.0]);
+    pub(crate) fn usable(&self, name: &ZoneId, zone: &Zone, group: usize) -> Vec<Line> {
+        let mut lines = Vec::with_capacity(self.fleet.len());
         let open = |h: &Host| h.ready() && self.groups[group].may_go(name, &h.entry);
-        for (id, host) in self.fleet.iter().filter(|(_, h)| open(h)) {
-            let path = zone.paths.get(id);
+        for (id, host, path) in paired(&self.fleet, &zone.paths).filter(|(_, host, _)| open(host)) {
             let factor = match path.map_or(Health::In, |p| p.state) {
                 Health::In => 0.5f64.powi(path.map_or(0, |p| p.step) as i32),
                 Health::Trial(_) => TRIAL,
                 Health::Out(_) => 0.0,
             };
-            // The zone's own hosts and the others each go round the whole ring.
-            let away = usize::from(host.entry.zone != *name);
-            let near = zone.near(name, host);
-            let place = (ends[away] + host.weight / 2.0) * if away == 0 { 1.0 } else { -1.0 };
-            ends[away] += if factor > 0.0 { host.weight } else { 0.0 };
-            let (warmth, cold) = (self.warmth(host), self.age(host) < 1.0);
-            lines.push(Line { id: id.clone(), weight: host.weight, near, factor, warmth, cold, place });
-        }
-        let [own, others] = ends.map(|end| end.max(1e-9));
-        lines.iter_mut().for_each(|l| l.place /= if l.place > 0.0 { own } else { -others });
+            let (id, weight, near) = (id.clone(), host.weight, zone.near(name, host));
+            let (warmth, cold, own) = (self.warmth(host), self.age(host) < 1.0, host.entry.zone == *name);
+            lines.push(Line { id, weight, near, factor, warmth, cold, own, place: 0.0 });
+        }
+        place_on_ring(&mut lines);
         lines
     }
 
     /// The lines of a table at their weights, its spares, and the scale of a usual day.
-    fn plan(&self, zone: &Zone, usable: &[Line], slot: &Slot, full: f64) -> (Lines, Lines, f64) {
+    fn plan(&self, zone: &Zone, usable: &[Line], slot: &Slot, full: f64) -> Plan {
         let whole = slot.length >= 1.0; // In a part, fewer hosts of other zones stand for less weight of all.
         let weight = |l: &Line| if whole { l.weight * l.near } else { l.weight };
         let far = |l: &Line| if whole { 0.0 } else { (l.place - slot.start).rem_euclid(1.0) / l.near };
         let warm = usable.iter().filter(|l| !l.cold && l.factor > 0.0);
-        let mut reach: Vec<f64> = warm.map(far).collect();
-        reach.sort_by(f64::total_cmp);
-        reach.truncate(LEAST_HOSTS as usize);
-        let reach = slot.length.max(reach.last().map_or(0.0, |last| last + 1e-9));
-        let (mut lines, mut spares) = (Lines::new(), Lines::new());
-        let (mut cold, mut usual, mut warm, mut rest) = (Vec::new(), 0.0, 0.0, 0.0);
+        let last = nth_least(warm.map(far), LEAST_HOSTS as usize);
+        let reach = slot.length.max(last.map_or(0.0, |last| last + 1e-9));
+        let mut lines: Vec<PlannedLine> = Vec::with_capacity(usable.len());
+        let planned = |l: &Line, weight, spare| PlannedLine { id: l.id.clone(), weight, spare };
+        // Cold hosts that have a line, and where.
+        let mut cold: Vec<(&Line, usize)> = Vec::new();
+        let (mut usual, mut warm, mut rest) = (0.0, 0.0, 0.0);
         for line in usable {
-            let (id, base, factor) = (&line.id, weight(line), line.factor);
+            let (base, factor) = (weight(line), line.factor);
             if far(line) >= reach {
                 if !line.cold {
-                    spares.insert(id.clone(), base * SPARE);
+                    lines.push(planned(line, base * SPARE, true));
                 }
                 continue;
             }
             usual += base;
             if line.cold {
-                cold.push(line);
+                cold.extend((factor > 0.0).then_some((line, lines.len())));
             } else {
                 warm += base;
                 rest += base * factor;
             }
             if factor > 0.0 {
-                lines.insert(id.clone(), base * factor.min(line.warmth));
+                lines.push(planned(line, base * factor.min(line.warmth), false));
             }
         }
         // Never empty: whatever was judged above, a warm host that the list shows as ready stays.
-        if rest == 0.0 && usable.iter().any(|l| !l.cold) || lines.is_empty() {
-            lines = usable.iter().map(|l| (l.id.clone(), weight(l) * l.warmth)).collect();
-            spares.clear();
-            cold = usable.iter().filter(|l| l.cold).collect();
+        if rest == 0.0 && usable.iter().any(|l| !l.cold) || lines.iter().all(|l| l.spare) {
+            lines = usable.iter().map(|l| planned(l, weight(l) * l.warmth, false)).collect();
+            cold = usable.iter().zip(0..).filter(|(l, _)| l.cold).collect();
             rest = usable.iter().filter(|l| !l.cold).map(weight).sum();
             (usual, warm) = (usable.iter().map(weight).sum(), rest);
         }
@@ -701,19 +720,19 @@
         // Cold hosts wait while losses are common: proxies avoid most other lines by their own count, and all
         // of it would fall on the newcomer. Warm hosts count by listed weight, whatever a strain left.
         let waits = warm >= WARM_ENOUGH * full && zone.usual >= COMMON_LOSS;
-        for line in cold.into_iter().filter(|_| rest > 0.0) {
-            let (id, base, warmth) = (&line.id, weight(line), line.warmth);
+        // From the last on, since taking one out moves those behind it.
+        for (line, at) in cold.into_iter().rev().filter(|_| rest > 0.0) {
             // Few hosts left: what the others no longer carry must not push a cold host over.
-            let budget = self.set.overload_factor * warmth * COLD_USE / ASSUMED_LOAD;
-            let share = (budget * base / full).min(0.9);
+            let budget = self.set.overload_factor * line.warmth * COLD_USE / ASSUMED_LOAD;
+            let share = (budget * weight(line) / full).min(0.9);
             let most = share / (1.0 - share) * rest;
-            match lines.get(id).copied() {
-                Some(_) if waits => drop(lines.remove(id)),
-                Some(weight) if weight > most => drop(lines.insert(id.clone(), most)),
-                _ => {}
+            if waits {
+                lines.remove(at);
+            } else if lines[at].weight > most {
+                lines[at].weight = most;
             }
         }
-        (lines, spares, full)
+        Plan { lines, full }
     }
 
     fn reconcile(&mut self, zones: &mut ByZone<Zone>, out: &mut Vec<Action>) {
@@ -725,32 +744,17 @@
             self.channel.give_up(self.now);
         }
         // Who was sent nothing for longest goes first: where the channel is short none must wait for ever.
-        let mut turns: Vec<(Micros, ZoneId, usize)> = Vec::new();
-        let mut shared: BTreeMap<ZoneId, Shared> = BTreeMap::new();
-        for (name, zone) in zones.iter() {
-            let slots = zone.slots.iter().enumerate();
-            turns.extend(slots.map(|(at, slot)| (slot.sent_at, name.clone(), at)));
-            shared.insert(name.clone(), self.shared(name, zone));
-        }
-        turns.sort_by_key(|turn| turn.0);
-        for (_, name, at) in turns {
+        let waiting = self.waiting();
+        let shared = self.shared(zones, &waiting);
+        for (name, at) in by_last_sent(zones) {
             let Some(zone) = zones.get_mut(&name) else { continue };
             (0..self.groups.len()).for_each(|group| self.update(zone, &shared[&name], group, at, out));
         }
-        for (name, zone) in zones.iter_mut() {
-            if std::mem::take(&mut zone.changed) {
-                zone.expect(&self.work(name, zone, 1e-3));
-            }
-        }
-        self.bind(zones, out);
-        let sending = std::mem::take(&mut self.sending);
-        let unmarked = self.channel.unmarked + sending.values().sum::<f64>();
-        let marked = unmarked > UNMARKED * self.ahead(DRAIN) && !sending.is_empty();
-        if marked {
-            self.channel.number = (self.channel.number + 1) % 65_536;
-            out.push(Action::Mark(false, self.channel.number));
+        self.expect_changed(zones, 1e-3);
+        if !waiting.is_empty() {
+            self.bind(zones, waiting, out);
         }
-        self.channel.ordered(self.now, sending, marked);
+        self.close_answer(UNMARKED * self.ahead(DRAIN), out);
     }
 
     /// Lines that may be under way for orders of an urgency: those waiting in the channel and those past it.
@@ -771,18 +775,6 @@
         self.channel.queued + lines <= self.ahead(urgency) && users.iter().all(free)
     }
 
-    /// What the tables of a zone have in common.
-    fn shared(&self, name: &ZoneId, zone: &Zone) -> Shared {
-        let usable = (0..self.groups.len()).map(|group| self.usable(name, zone, group)).collect();
-        let levels = (0..self.set.classes.len()).map(|at| self.level(name, at)).collect();
-        let mut users = vec![Vec::new(); zone.slots.len()];
-        let bound = self.proxies_of(name).filter_map(|(id, p)| Some((*id, p.slot?)));
-        bound.for_each(|(id, slot)| users[slot].push(id));
-        let waiting = self.waiting();
-        let waits = waiting.first().map_or(0.0, |id| self.now.since(self.proxies[id].joined));
-        Shared { usable, levels, users, waiting: waiting.len(), waits }
-    }
-
     /// Sends the differences of a table for a group of classes if the most urgent may go now, and then as
     /// many new spares as there is room for.
     fn update(&mut self, zone: &mut Zone, shared: &Shared, group: usize, at: usize, out: &mut Vec<Action>) {
@@ -792,14 +784,17 @@
         // Spares are a luxury: joiners must not wait for them, nor may they cost connections that run short.
         let joins = self.channel.queued + (waiting * usable.len() * self.groups.len()) as f64;
         let crowded = waiting > 0 && joins > self.ahead(ORDINARY);
-        let table = &zone.slots[at].tables[group];
-        let (lines, mut spares, full) = self.plan(zone, usable, &zone.slots[at], table.full);
         // Those that the channel can't lay within a cooldown would never be whole, and hold up all that is.
         let laid_by = (self.proxies.len() * usable.len() * self.groups.len()) as f64 / self.set.lines_per_s;
-        spares.retain(|_, _| laid_by <= COOLDOWN_S && !crowded && zone.uses <= USES);
-        let held = table.lines.keys().filter_map(|id| Some((id.clone(), spares.remove(id)?)));
-        let all: Lines = lines.clone().into_iter().chain(held).collect();
-        let (mut changes, mut levels) = table.differences(&all, &wanted, SAME);
+        let spared = laid_by <= COOLDOWN_S && !crowded && zone.uses <= USES;
+        let (slot, table) = (&zone.slots[at], &zone.slots[at].tables[group]);
+        let inputs = TableInputs::new(shared, slot, table, zone.usual >= COMMON_LOSS, spared);
+        if table.settled.holds(&inputs, self.now) {
+            return;
+        }
+        let plan = self.plan(zone, usable, slot, table.full);
+        let (mut changes, mut levels) = table.differences(&plan, spared, &wanted, SAME);
+        let spares: Vec<(HostId, f64)> = plan.new_spares(table).filter(|_| spared).collect();
         let urgent = changes.iter().map(|(id, to)| self.urgency(zone, table, id, *to));
         // In a crowd the joiners' part of the channel is for all: tables that stand still jam hosts. Joiners
         // have it for themselves once the first of them has waited for a good part of its grace.
@@ -807,8 +802,9 @@
             if crowded && shared.waits < PATIENCE * self.set.drain_grace.secs() { BIND } else { ORDINARY };
         let urgency = urgent.fold(least, |a, b| if b > a { b } else { a });
         let (mut anew, mut count) = (false, changes.len() + levels.len());
+        let settled = count == 0 && spares.is_empty();
         // A table that none holds yet costs nothing: it must be whole before a proxy is bound.
-        let short = 1 + lines.len() + wanted.len();
+        let short = 1 + plan.main().count() + wanted.len();
         let shorter = short < count && (crowded || urgency == DRAIN);
         let tight = shorter || !self.room(urgency, count, users);
         if count > 0 && !users.is_empty() && tight {
@@ -816,7 +812,8 @@
             // else what is urgent must not wait for the rest, but for new lines: a table was left empty.
             anew = short < count && self.room(urgency, short, users);
             if anew {
-                (changes, levels, count) = (lines.into_iter().collect(), wanted.clone(), short);
+                let lines = plan.main().map(|line| (line.id.clone(), line.weight));
+                (changes, levels, count) = (lines.collect(), wanted.clone(), short);
             } else {
                 let now = |id: &HostId, to| self.urgency(zone, table, id, to) == urgency;
                 changes.retain(|(id, to)| !table.lines.contains_key(id) || now(id, *to));
@@ -835,17 +832,16 @@
             count = changes.len() + levels.len();
         }
         let table = &mut zone.slots[at].tables[group];
-        table.full = full;
+        table.full = plan.full;
         if anew {
             out.push(Action::ClearTable(table.id));
             table.clear();
         }
-        out.extend(changes.iter().map(|(id, weight)| Action::SetLine(table.id, id.clone(), *weight)));
-        let admit = |(class, level): &(ClassId, f64)| {
-            Action::Admit(Some(table.id), ClassMask(1 << class.0), *level, TRY_AGAIN)
-        };
-        out.extend(levels.iter().map(admit));
+        out.extend(table.orders(&changes, &levels, TRY_AGAIN));
         table.ordered(changes, levels);
+        if settled {
+            table.settled.settle(inputs.with_full(table.full), NEVER);
+        }
         if count > 0 {
             self.touch(count, users);
             (zone.changed, zone.slots[at].sent_at) = (true, self.now);
@@ -865,10 +861,10 @@
     }
 
     /// Binds proxies that have joined, once, as soon as the channel has room, to the slot with least work.
-    fn bind(&mut self, zones: &ByZone<Zone>, out: &mut Vec<Action>) {
+    fn bind(&mut self, zones: &ByZone<Zone>, waiting: Vec<ProxyId>, out: &mut Vec<Action>) {
         let work = zones.iter().map(|(name, zone)| (name.clone(), self.work(name, zone, 0.0)));
         let mut work: BTreeMap<ZoneId, Vec<f64>> = work.collect();
-        for id in self.waiting() {
+        for id in waiting {
             let (zone, rate) = (&self.proxies[&id].zone, self.proxies[&id].rate);
             let Some(work) = work.get_mut(zone) else { continue };
             let Some(at) = (0..work.len()).min_by(|a, b| work[*a].total_cmp(&work[*b])) else { continue };
@@ -884,6 +880,7 @@
                 out.push(Action::Bind(id, table.id, ClassMask(mask)));
             }
             self.touch(lines, &[id]);
+            self.derived.revisions.proxies += 1;
             self.proxies.entry(id).and_modify(|p| (p.slot, p.moves) = (Some(at), false));
         }
     }
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -1,6 +1,8 @@
 //! What a director remembers: plain records, no decision and no figure. `policy.rs` says what becomes of them.
 use crate::channel::Channel;
+pub(crate) use crate::derived::*;
 use crate::interface::*;
+pub(crate) use crate::table::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -98,57 +100,9 @@
     pub(crate) usual: f64,
     /// Spares are laid from then on.
     pub(crate) lean_until: Micros,
-}
-
-/// The tables that some of a zone's proxies share, one for each group of classes, and the part of the hosts
-/// that has listed weight there: from where on the ring of hosts and how much of it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Slot {
-    pub(crate) tables: Vec<Table>,
-    pub(crate) start: f64,
-    pub(crate) length: f64,
-    /// When its proxies were last sent a change.
-    #[serde(default)]
-    pub(crate) sent_at: Micros,
-}
-
-/// A host as a table may use it: its weight there, the factors on that, its place on the ring.
-pub(crate) struct Line {
-    pub(crate) id: HostId,
-    pub(crate) weight: f64,
-    pub(crate) near: f64,
-    pub(crate) factor: f64,
-    pub(crate) warmth: f64,
-    pub(crate) cold: bool,
-    pub(crate) place: f64,
-}
-
-/// What the tables of a zone have in common: usable hosts by group, levels by class, bound proxies by slot, and how many
-/// proxies of all zones wait to be bound, and the first of them for how long.
-pub(crate) struct Shared {
-    pub(crate) usable: Vec<Vec<Line>>,
-    pub(crate) levels: Vec<f64>,
-    pub(crate) users: Vec<Vec<ProxyId>>,
-    pub(crate) waiting: usize,
-    pub(crate) waits: f64,
-}
-
-/// Lines and levels of a table that are to be ordered.
-pub(crate) type Changes = (Vec<(HostId, f64)>, Vec<(ClassId, f64)>);
-pub(crate) type Lines = BTreeMap<HostId, f64>;
-
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(default)]
-pub(crate) struct Table {
-    pub(crate) id: TableId,
-    /// What was ordered: lines, and levels by class.
-    pub(crate) lines: Lines,
-    pub(crate) levels: BTreeMap<ClassId, f64>,
-    /// The largest weight that this table ever had open: the scale of a usual day.
-    pub(crate) full: f64,
-    /// Sum over its lines and levels, each mixed into one number: equal for equal contents, in any order of orders.
+    /// What was worked out from the above.
     #[serde(skip)]
-    pub(crate) digest: u64,
+    pub(crate) derived: ZoneDerived,
 }
 
 /// Classes that may go to the same hosts share a table per zone.
@@ -218,6 +172,9 @@
     pub(crate) ask_at: Micros,
     pub(crate) failures: u32,
     pub(crate) notes: Vec<String>,
+    /// What was worked out from the above.
+    #[serde(skip)]
+    pub(crate) derived: Derived,
 }
 
 impl Proxy {
@@ -234,6 +191,16 @@
     }
 }
 
+impl Zone {
+    /// Begins to know each ready host that it does not know yet.
+    pub(crate) fn meet(&mut self, fleet: &BTreeMap<HostId, Host>) {
+        let unknown = paired(fleet, &self.paths).filter(|(_, host, path)| host.ready() && path.is_none());
+        let unknown: Vec<HostId> = unknown.map(|(id, ..)| id.clone()).collect();
+        let paths = unknown.into_iter().map(|id| (id, Path::default()));
+        self.paths.extend(paths);
+    }
+}
+
 impl Group {
     /// One group for each set of limits on where classes may go.
     pub(crate) fn all(classes: &[Class]) -> Vec<Group> {
@@ -257,6 +224,16 @@
     }
 }
 
+/// What all zones together met at each host since the last round that used it.
+pub(crate) fn sums_by_host(zones: &ByZone<Zone>) -> BTreeMap<HostId, Tally> {
+    let mut sums: BTreeMap<HostId, Tally> = BTreeMap::new();
+    let paths = zones.values().flat_map(|zone| &zone.paths);
+    for (id, path) in paths.filter(|(_, path)| path.sum.tries > 0.0) {
+        sums.entry(id.clone()).or_default().add(path.sum);
+    }
+    sums
+}
+
 impl Tally {
     /// Counts `other` in.
     pub(crate) fn add(&mut self, other: Tally) {
@@ -279,88 +256,14 @@
             1.0 - self.bias
         }
     }
-
-    /// Works out what part of the zone's tries each host should get by its tables, given each slot's work.
-    pub(crate) fn expect(&mut self, work: &[f64]) {
-        let total: f64 = work.iter().sum();
-        let mut parts: BTreeMap<&HostId, f64> = BTreeMap::new();
-        for (slot, work) in self.slots.iter().zip(work) {
-            let lines = &slot.tables[0].lines;
-            let all = lines.values().sum::<f64>() * total;
-            lines.iter().for_each(|(id, weight)| *parts.entry(id).or_default() += work * weight / all);
-        }
-        self.width = parts.len() as f64;
-        for (id, path) in &mut self.paths {
-            path.missed += (self.heard.0 - path.seen.0) * path.part;
-            let turns = if path.part > 0.0 { path.seen.1 } else { self.heard.1 };
-            path.seen = (self.heard.0, turns);
-            path.part = parts.get(id).copied().unwrap_or(0.0);
-        }
-    }
-}
-
-impl Slot {
-    /// Empty tables, numbered from `first` on.
-    pub(crate) fn new(first: u32, groups: usize) -> Slot {
-        let ids = (first..).take(groups).map(TableId);
-        let tables = ids.map(|id| Table { id, ..Table::default() }).collect();
-        Slot { tables, start: 0.0, length: 0.0, sent_at: Micros(0) }
-    }
 }
 
-impl Table {
-    /// What is not yet ordered of the wanted lines and levels; weights that differ by less than `same` (a
-    /// share) are.
-    pub(crate) fn differences(&self, lines: &Lines, levels: &[(ClassId, f64)], same: f64) -> Changes {
-        let differs = |(id, weight): &(&HostId, &f64)| {
-            self.lines.get(*id).is_none_or(|ordered| (*weight / ordered - 1.0).abs() > same)
-        };
-        let mut changes: Vec<_> = lines.iter().filter(differs).map(|(id, w)| (id.clone(), *w)).collect();
-        changes.extend(self.lines.keys().filter(|id| !lines.contains_key(id)).map(|id| (id.clone(), 0.0)));
-        let levels = levels.iter().filter(|(class, level)| self.levels.get(class) != Some(level));
-        (changes, levels.copied().collect())
-    }
-
-    /// Keeps what was ordered.
-    pub(crate) fn ordered(&mut self, changes: Vec<(HostId, f64)>, levels: Vec<(ClassId, f64)>) {
-        for (id, weight) in changes {
-            let new = if weight > 0.0 { line_digest(&id, weight) } else { 0 };
-            let old = self.lines.get(&id).map_or(0, |old| line_digest(&id, *old));
-            self.digest = self.digest.wrapping_add(new).wrapping_sub(old);
-            match weight > 0.0 {
-                true => self.lines.insert(id, weight),
-                false => self.lines.remove(&id),
-            };
-        }
-        for (class, level) in levels {
-            let old = self.levels.insert(class, level).map_or(0, |old| level_digest(class, old));
-            self.digest = self.digest.wrapping_add(level_digest(class, level)).wrapping_sub(old);
-        }
-    }
-
-    /// Takes all lines out; levels stay.
-    pub(crate) fn clear(&mut self) {
-        self.lines.clear();
-        self.digest_anew();
-    }
-
-    /// Works the digest out from what is held.
-    pub(crate) fn digest_anew(&mut self) {
-        let lines = self.lines.iter().map(|(id, weight)| line_digest(id, *weight));
-        let levels = self.levels.iter().map(|(class, level)| level_digest(*class, *level));
-        self.digest = lines.chain(levels).fold(0, u64::wrapping_add);
+impl Path {
+    /// Tries that should have come since the host was last heard of, by the zone's count of all tries.
+    pub(crate) fn missed_by(&self, tries: f64) -> f64 {
+        self.missed + (tries - self.seen.0) * self.part
     }
-}
-
-fn line_digest(id: &HostId, weight: f64) -> u64 {
-    xxhash_rust::xxh3::xxh3_64_with_seed(id.0.as_bytes(), weight.to_bits())
-}
-
-fn level_digest(class: ClassId, level: f64) -> u64 {
-    xxhash_rust::xxh3::xxh3_64_with_seed(&class.0.to_le_bytes(), level.to_bits())
-}
 
-impl Path {
     /// Forgets all, in a new state and with halvings in force.
     pub(crate) fn anew(&mut self, state: Health, step: u32) {
         *self = Path { state, step, stay_s: self.stay_s, ..Path::default() };
@@ -405,12 +308,10 @@
     /// The other zones that nothing of a zone reaches, while most of its own hosts answer: all tries that the last sums told
     /// were lost, so many at least.
     pub(crate) fn cut(&self, name: &ZoneId, zone: &Zone, least: f64) -> BTreeSet<ZoneId> {
-        // Hosts are told of one after the other; each belongs to the same period as long as less has passed.
-        let last = |path: &&Path| self.now.since(path.faded_at) <= 1.5 * self.set.report_period.secs();
         // By zone: tries lost in a row, and of how many hosts the last one was good or lost.
         let mut met: BTreeMap<&ZoneId, (f64, [u32; 2])> = BTreeMap::new();
-        for (id, host) in &self.fleet {
-            if let Some(path) = zone.paths.get(id).filter(last) {
+        for (_, host, path) in paired(&self.fleet, &zone.paths) {
+            if let Some(path) = path.filter(|path| self.is_current(path)) {
                 let (lost, hosts) = met.entry(&host.entry.zone).or_default();
                 *lost += path.streak;
                 hosts[usize::from(path.streak > 0.0)] += 1;
@@ -440,6 +341,7 @@
         let old = |host: &Host| host.gone_at.is_some_and(|at| self.now.since(at) >= secs);
         let gone = self.fleet.iter().filter(|(id, host)| old(host) && !held(id));
         let gone: Vec<HostId> = gone.map(|(id, _)| id.clone()).collect();
+        self.derived.revisions.fleet += u64::from(!gone.is_empty());
         for id in gone {
             self.fleet.remove(&id);
             for zone in zones.values_mut() {
@@ -500,6 +402,27 @@
         self.set.classes.iter().map(|c| c.aim.secs() * 1e3).fold(0.0, f64::max)
     }
 
+    /// The hosts by the zone that they stand in.
+    pub(crate) fn by_home(&self) -> BTreeMap<&ZoneId, Vec<(&HostId, &Host)>> {
+        let mut homes: BTreeMap<&ZoneId, Vec<(&HostId, &Host)>> = BTreeMap::new();
+        for (id, host) in &self.fleet {
+            homes.entry(&host.entry.zone).or_default().push((id, host));
+        }
+        homes
+    }
+
+    /// The proxies bound to each slot of each zone.
+    pub(crate) fn users(&self, zones: &ByZone<Zone>) -> ByZone<Vec<Vec<ProxyId>>> {
+        let slots = zones.iter().map(|(name, zone)| (name.clone(), vec![Vec::new(); zone.slots.len()]));
+        let mut users: ByZone<Vec<Vec<ProxyId>>> = slots.collect();
+        for (id, proxy) in &self.proxies {
+            if let (Some(slots), Some(slot)) = (users.get_mut(&proxy.zone), proxy.slot) {
+                slots[slot].push(*id);
+            }
+        }
+        users
+    }
+
     /// The joined proxies of a zone.
     pub(crate) fn proxies_of<'a>(
         &'a self,
@@ -530,13 +453,13 @@
 
     /// Busy shares by kind of machine: those of its warm hosts that told them lately and that every zone here uses by
     /// their full size.
-    pub(crate) fn busy_by_kind(&self, zones: &ByZone<Zone>, lately: f64) -> BTreeMap<String, Vec<f64>> {
+    pub(crate) fn busy_by_kind(&mut self, zones: &ByZone<Zone>, lately: f64) -> BTreeMap<String, Vec<f64>> {
+        self.follow_reduced(zones.values());
         let mut kinds: BTreeMap<String, Vec<f64>> = BTreeMap::new();
-        for (id, host) in self.ready().filter(|(_, host)| self.age(host) >= 1.0) {
-            let mut paths = zones.values().filter_map(|zone| zone.paths.get(id));
-            let full = paths.all(|path| path.state == Health::In && path.step == 0);
+        for (id, host) in self.ready() {
             let told = host.busy.filter(|(busy, at)| *busy > 0.0 && self.now.since(*at) <= lately);
-            if let Some((busy, _)) = told.filter(|_| full) {
+            let Some((busy, _)) = told.filter(|_| self.age(host) >= 1.0) else { continue };
+            if !self.is_reduced(id) {
                 kinds.entry(host.entry.kind.clone()).or_default().push(busy);
             }
         }
@@ -559,9 +482,21 @@
 
 /// The middle one of some values.
 pub(crate) fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
-    let mut values: Vec<f64> = values.collect();
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied()
+    let values: Vec<f64> = values.collect();
+    let middle = values.len() / 2;
+    at_rank(values, middle)
+}
+
+/// The `count`th least of some values, or the greatest if there are fewer.
+pub(crate) fn nth_least(values: impl Iterator<Item = f64>, count: usize) -> Option<f64> {
+    let values: Vec<f64> = values.collect();
+    let rank = values.len().min(count).checked_sub(1)?;
+    at_rank(values, rank)
+}
+
+/// The value that would stand at a place if the values were sorted.
+fn at_rank(mut values: Vec<f64>, rank: usize) -> Option<f64> {
+    (rank < values.len()).then(|| *values.select_nth_unstable_by(rank, f64::total_cmp).1)
 }
 
 /// The cap a second on each of some rates that lets `total` through in all: a half or a whole number.
--- /dev/null
+++ b/crates/wingfold-director/src/table.rs
@@ -0,0 +1,288 @@
+//! Tables as they were ordered, the lines that are planned for them, and what differs between the two. Nothing is decided
+//! here.
+use crate::derived::{order, Settled, TableInputs, Usable};
+use crate::interface::*;
+use crate::state::{ByZone, Director, Path, Zone};
+use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The tables that some of a zone's proxies share, one for each group of classes, and the part of the hosts
+/// that has listed weight there: from where on the ring of hosts and how much of it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Slot {
+    pub(crate) tables: Vec<Table>,
+    pub(crate) start: f64,
+    pub(crate) length: f64,
+    /// When its proxies were last sent a change.
+    #[serde(default)]
+    pub(crate) sent_at: Micros,
+}
+
+/// A host as a table may use it: its weight there, the factors on that, its place on the ring.
+#[derive(Clone, Debug)]
+pub(crate) struct Line {
+    pub(crate) id: HostId,
+    pub(crate) weight: f64,
+    pub(crate) near: f64,
+    pub(crate) factor: f64,
+    pub(crate) warmth: f64,
+    pub(crate) cold: bool,
+    /// It stands in the zone itself.
+    pub(crate) own: bool,
+    pub(crate) place: f64,
+}
+
+/// Gives each host its place on the ring: the zone's own hosts and the others each go round all of it, each as wide as its
+/// weight. Hosts that are out have no width.
+pub(crate) fn place_on_ring(lines: &mut [Line]) {
+    let (mut own_end, mut others_end) = (0.0, 0.0);
+    for line in lines.iter_mut() {
+        let end = if line.own { &mut own_end } else { &mut others_end };
+        line.place = *end + line.weight / 2.0;
+        *end += if line.factor > 0.0 { line.weight } else { 0.0 };
+    }
+    for line in lines {
+        let end = if line.own { own_end } else { others_end };
+        line.place /= f64::max(end, 1e-9);
+    }
+}
+
+/// What the tables of a zone have in common: usable hosts by group, levels by class, bound proxies by slot, and how many
+/// proxies of all zones wait to be bound, and the first of them for how long.
+pub(crate) struct Shared {
+    pub(crate) usable: Usable,
+    /// Changes whenever `usable` does.
+    pub(crate) revision: u64,
+    pub(crate) levels: Vec<f64>,
+    pub(crate) users: Vec<Vec<ProxyId>>,
+    pub(crate) waiting: usize,
+    pub(crate) waits: f64,
+}
+
+/// A line that a table should have.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct PlannedLine {
+    pub(crate) id: HostId,
+    pub(crate) weight: f64,
+    /// At next to no weight, and laid only where there is room.
+    pub(crate) spare: bool,
+}
+
+/// What a table should hold, in the order of its hosts, and the scale of a usual day.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Plan {
+    pub(crate) lines: Vec<PlannedLine>,
+    pub(crate) full: f64,
+}
+
+/// Lines and levels of a table that are to be ordered.
+pub(crate) type Changes = (Vec<(HostId, f64)>, Vec<(ClassId, f64)>);
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct Table {
+    pub(crate) id: TableId,
+    /// What was ordered: lines, and levels by class.
+    pub(crate) lines: BTreeMap<HostId, f64>,
+    pub(crate) levels: BTreeMap<ClassId, f64>,
+    /// The largest weight that this table ever had open: the scale of a usual day.
+    pub(crate) full: f64,
+    /// Sum over its lines and levels, each mixed into one number: equal for equal contents, in any order of orders.
+    #[serde(skip)]
+    pub(crate) digest: u64,
+    /// The inputs for which all that is wanted has been ordered.
+    #[serde(skip)]
+    pub(crate) settled: Settled<TableInputs>,
+}
+
+impl Plan {
+    /// The lines that are not spares.
+    pub(crate) fn main(&self) -> impl Iterator<Item = &PlannedLine> {
+        self.lines.iter().filter(|line| !line.spare)
+    }
+
+    /// The spares that a table does not hold yet.
+    pub(crate) fn new_spares<'a>(&'a self, table: &'a Table) -> impl Iterator<Item = (HostId, f64)> + 'a {
+        let new = self.lines.iter().filter(|line| line.spare && !table.lines.contains_key(&line.id));
+        new.map(|line| (line.id.clone(), line.weight))
+    }
+}
+
+impl Slot {
+    /// Empty tables, numbered from `first` on.
+    pub(crate) fn new(first: u32, groups: usize) -> Slot {
+        let ids = (first..).take(groups).map(TableId);
+        let tables = ids.map(|id| Table { id, ..Table::default() }).collect();
+        Slot { tables, start: 0.0, length: 0.0, sent_at: Micros(0) }
+    }
+}
+
+impl Table {
+    /// What is not yet ordered of the planned lines and the wanted levels; weights that differ by less than `same` (a
+    /// share) are. Spares count only where they are held already and `spared` says that they stay.
+    pub(crate) fn differences(
+        &self,
+        plan: &Plan,
+        spared: bool,
+        levels: &[(ClassId, f64)],
+        same: f64,
+    ) -> Changes {
+        let (mut changes, mut removed) = (Vec::new(), Vec::new());
+        let mut held = self.lines.iter().peekable();
+        for line in &plan.lines {
+            while let Some((id, _)) = held.next_if(|(id, _)| order(id, &line.id) == Ordering::Less) {
+                removed.push((id.clone(), 0.0));
+            }
+            let ordered = held.next_if(|(id, _)| order(id, &line.id) == Ordering::Equal);
+            let differs = |(_, ordered): (_, &f64)| (line.weight / ordered - 1.0).abs() > same;
+            match (line.spare, ordered) {
+                (true, None) => {}
+                (true, Some(_)) if !spared => removed.push((line.id.clone(), 0.0)),
+                _ if ordered.is_none_or(differs) => changes.push((line.id.clone(), line.weight)),
+                _ => {}
+            }
+        }
+        removed.extend(held.map(|(id, _)| (id.clone(), 0.0)));
+        changes.append(&mut removed);
+        let levels = levels.iter().filter(|(class, level)| self.levels.get(class) != Some(level));
+        (changes, levels.copied().collect())
+    }
+
+    /// The orders for some changes of lines and levels.
+    pub(crate) fn orders<'a>(
+        &self,
+        lines: &'a [(HostId, f64)],
+        levels: &'a [(ClassId, f64)],
+        retry: Retry,
+    ) -> impl Iterator<Item = Action> + 'a {
+        let id = self.id;
+        let lines = lines.iter().map(move |(host, weight)| Action::SetLine(id, host.clone(), *weight));
+        let admit = move |(class, level): &(ClassId, f64)| {
+            Action::Admit(Some(id), ClassMask(1 << class.0), *level, retry)
+        };
+        lines.chain(levels.iter().map(admit))
+    }
+
+    /// Keeps what was ordered.
+    pub(crate) fn ordered(&mut self, changes: Vec<(HostId, f64)>, levels: Vec<(ClassId, f64)>) {
+        if !changes.is_empty() || !levels.is_empty() {
+            self.settled = Settled::default();
+        }
+        for (id, weight) in changes {
+            let new = if weight > 0.0 { line_digest(&id, weight) } else { 0 };
+            let old = self.lines.get(&id).map_or(0, |old| line_digest(&id, *old));
+            self.digest = self.digest.wrapping_add(new).wrapping_sub(old);
+            match weight > 0.0 {
+                true => self.lines.insert(id, weight),
+                false => self.lines.remove(&id),
+            };
+        }
+        for (class, level) in levels {
+            let old = self.levels.insert(class, level).map_or(0, |old| level_digest(class, old));
+            self.digest = self.digest.wrapping_add(level_digest(class, level)).wrapping_sub(old);
+        }
+    }
+
+    /// Takes all lines out; levels stay.
+    pub(crate) fn clear(&mut self) {
+        self.lines.clear();
+        self.settled = Settled::default();
+        self.digest_anew();
+    }
+
+    /// Works the digest out from what is held.
+    pub(crate) fn digest_anew(&mut self) {
+        let lines = self.lines.iter().map(|(id, weight)| line_digest(id, *weight));
+        let levels = self.levels.iter().map(|(class, level)| level_digest(*class, *level));
+        self.digest = lines.chain(levels).fold(0, u64::wrapping_add);
+    }
+}
+
+fn line_digest(id: &HostId, weight: f64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(id.0.as_bytes(), weight.to_bits())
+}
+
+fn level_digest(class: ClassId, level: f64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(&class.0.to_le_bytes(), level.to_bits())
+}
+
+/// The part of a zone's tries that a host should get by the zone's tables.
+type Parts<'a> = Vec<(&'a HostId, &'a mut Path, Option<f64>)>;
+
+impl Zone {
+    /// Works out what part of the zone's tries each host should get by its tables, given each slot's work.
+    pub(crate) fn expect(&mut self, work: &[f64]) {
+        let total: f64 = work.iter().sum();
+        let mut parts: Parts = self.paths.iter_mut().map(|(id, path)| (id, path, None)).collect();
+        let mut unmet: BTreeSet<&HostId> = BTreeSet::new();
+        for (slot, work) in self.slots.iter().zip(work) {
+            let lines = &slot.tables[0].lines;
+            let all = lines.values().sum::<f64>() * total;
+            let mut next = 0;
+            for (id, weight) in lines {
+                while parts.get(next).is_some_and(|(other, ..)| order(other, id) == Ordering::Less) {
+                    next += 1;
+                }
+                match parts.get_mut(next).filter(|(other, ..)| order(other, id) == Ordering::Equal) {
+                    Some((_, _, part)) => *part = Some(part.unwrap_or_default() + work * weight / all),
+                    None => drop(unmet.insert(id)),
+                }
+            }
+        }
+        let met = parts.iter().filter(|(_, _, part)| part.is_some()).count();
+        self.width = (met + unmet.len()) as f64;
+        for (_, path, part) in parts {
+            path.missed += (self.heard.0 - path.seen.0) * path.part;
+            let turns = if path.part > 0.0 { path.seen.1 } else { self.heard.1 };
+            path.seen = (self.heard.0, turns);
+            path.part = part.unwrap_or(0.0);
+        }
+        self.derived.touch();
+    }
+}
+
+/// The slots of all zones, those first whose proxies were sent nothing for longest.
+pub(crate) fn by_last_sent(zones: &ByZone<Zone>) -> Vec<(ZoneId, usize)> {
+    let mut turns: Vec<(Micros, &ZoneId, usize)> = Vec::new();
+    for (name, zone) in zones {
+        let slots = zone.slots.iter().enumerate();
+        turns.extend(slots.map(|(at, slot)| (slot.sent_at, name, at)));
+    }
+    turns.sort_by_key(|turn| turn.0);
+    turns.into_iter().map(|(_, name, at)| (name.clone(), at)).collect()
+}
+
+impl Director {
+    /// Works out what part of its tries each host should get in the zones whose tables have changed; each slot has at
+    /// least so much work.
+    pub(crate) fn expect_changed(&self, zones: &mut ByZone<Zone>, least: f64) {
+        for (name, zone) in zones {
+            if std::mem::take(&mut zone.changed) {
+                zone.expect(&self.work(name, zone, least));
+            }
+        }
+    }
+
+    /// What the tables of each zone have in common; `waiting` are the proxies that wait to be bound.
+    pub(crate) fn shared(&self, zones: &mut ByZone<Zone>, waiting: &[ProxyId]) -> BTreeMap<ZoneId, Shared> {
+        let shares: Vec<f64> = (0..self.set.classes.len()).map(|class| self.share(class)).collect();
+        let waits = waiting.first().map_or(0.0, |id| self.now.since(self.proxies[id].joined));
+        let mut users = self.users(zones);
+        let mut shared = BTreeMap::new();
+        for (name, zone) in zones.iter_mut() {
+            let usable = self.usable_lines(zone, |zone, group| self.usable(name, zone, group));
+            let levels = shares.iter().enumerate().map(|(class, share)| self.level(name, class, *share));
+            let common = Shared {
+                usable,
+                revision: zone.derived.revision,
+                levels: levels.collect(),
+                users: users.swap_remove(name).unwrap_or_default(),
+                waiting: waiting.len(),
+                waits,
+            };
+            shared.insert(name.clone(), common);
+        }
+        shared
+    }
+}
