Give the emulator's hosts and proxies the standard names of the field

Mood, Says and Met named a host's state, how it takes an attempt, and the counts of attempts: they are HostState, Acceptance and AttemptStats now. Lines, Rule, shunned, rows, asks, life, bring, pick and look became HostWeights, RoutingRule, ejected_until, consecutive_failures, arrival_epoch, incarnation, add_cold_work, pick_host and account. Pairs of numbers became types: ClassUsage, TokenBucket, QueuedAttempt and OverloadLimit. Proxy::count is two functions, record_success and record_failure, and ejection is a call of its own. All public items are documented. No test was changed.

--- a/crates/wingfold-lab/src/host.rs
+++ b/crates/wingfold-lab/src/host.rs
@@ -1,66 +1,91 @@
-//! One host: cores that serve a queue, slower while cold, slow, or crowded; and what of it the list and reports show.
+//! One host: cores that serve a queue, slower while cold, slow, or crowded; and what discovery and reports show of it.
 
 use std::collections::VecDeque;
 use wingfold_director::interface::{HostId, Micros, Readiness};
 
-/// Requests that may wait for a core, for each core; more are turned away at once.
-const QUEUE: usize = 24;
+/// Requests that may wait for each core; more are refused at once.
+const QUEUE_PER_CORE: usize = 24;
 
-/// What a host does with requests now.
+/// Whether and how a host serves.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Mood {
+pub enum HostState {
     /// Serves.
     Up,
     /// Refuses connections: its process is dead.
-    Dead,
+    Down,
     /// Answers nothing, takes no connection.
-    Silent,
+    Unreachable,
     /// Takes requests and answers none.
     Hung,
 }
 
-/// What it says to a request that arrives.
+/// How a host takes an attempt that arrives.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Says {
-    /// Begun on a core; done at the time given.
-    Begun(Micros),
-    /// Waits.
-    Waits,
-    /// Turned away: surely never ran.
+pub enum Acceptance {
+    /// Started on a core; finished at the time given.
+    Started(Micros),
+    /// Waits for a core.
+    Queued,
+    /// Refused: it surely never ran.
     Refused,
-    /// Nothing ever comes.
-    Nothing,
+    /// Never answered.
+    Unanswered,
+}
+
+/// How much work a cold host stands before it falls over.
+#[derive(Clone, Copy, Debug)]
+pub struct OverloadLimit {
+    /// Work that it stands, as a multiple of what it can do.
+    pub factor: f64,
+    /// The time over which both are counted.
+    pub window: Micros,
+}
+
+/// An attempt that waits for a core.
+#[derive(Clone, Copy, Debug)]
+struct QueuedAttempt {
+    attempt: u64,
+    work_ms: f64,
 }
 
 /// A host.
 #[derive(Clone, Debug)]
 pub struct Host {
+    /// Its name.
     pub id: HostId,
+    /// Its kind of machine.
     pub kind: String,
+    /// Its zone's index.
     pub zone: usize,
+    /// How many attempts run at once.
     pub cores: usize,
+    /// Speed of a core.
     pub speed: f64,
-    pub mood: Mood,
-    /// What the list will say of it, sooner or later.
+    /// Whether it serves.
+    pub state: HostState,
+    /// What discovery will say of it, sooner or later.
     pub listed: Readiness,
+    /// When it last started; `None`: before the simulation.
     pub started: Option<Micros>,
-    /// Times slower, part of the cores taken by others, part of the answers that are errors.
-    pub slower: f64,
-    pub taken: f64,
-    pub errors: f64,
-    /// Attempts that wait and that run, by number, with their work in ms.
-    pub queue: VecDeque<(u64, f64)>,
-    pub running: usize,
-    /// Counts lives: what an earlier one had in hand is gone.
-    pub life: u32,
-    /// Busy core-time since the last report, and when it was looked at.
-    busy: f64,
-    looked: Micros,
-    /// Work brought while cold, with its time.
-    brought: VecDeque<(Micros, f64)>,
+    /// So many times slower.
+    pub slowdown: f64,
+    /// The part of its cores that others take.
+    pub stolen_share: f64,
+    /// The part of its answers that are errors.
+    pub error_share: f64,
+    /// Counts its starts and stops: what an earlier incarnation had in hand is lost.
+    pub incarnation: u32,
+    queue: VecDeque<QueuedAttempt>,
+    running: usize,
+    /// Busy core-seconds since the last report, counted up to `accounted_until`.
+    busy_seconds: f64,
+    accounted_until: Micros,
+    /// Work in ms that arrived while it was cold, with its time.
+    cold_work: VecDeque<(Micros, f64)>,
 }
 
 impl Host {
+    /// A host that is warm and serves.
     pub fn new(id: HostId, kind: &str, zone: usize, cores: usize, speed: f64) -> Host {
         Host {
             id,
@@ -68,99 +93,107 @@
             zone,
             cores,
             speed,
-            mood: Mood::Up,
+            state: HostState::Up,
             listed: Readiness::Ready,
             started: None,
-            slower: 1.0,
-            taken: 0.0,
-            errors: 0.0,
+            slowdown: 1.0,
+            stolen_share: 0.0,
+            error_share: 0.0,
+            incarnation: 0,
             queue: VecDeque::new(),
             running: 0,
-            life: 0,
-            busy: 0.0,
-            looked: Micros(0),
-            brought: VecDeque::new(),
+            busy_seconds: 0.0,
+            accounted_until: Micros(0),
+            cold_work: VecDeque::new(),
         }
     }
 
     /// The share of its capacity that it has, by the time since its start.
-    pub fn warmth(&self, now: Micros, cold: Micros, start: f64) -> f64 {
+    pub fn warmth(&self, now: Micros, cold: Micros, start_capacity: f64) -> f64 {
         let Some(started) = self.started else { return 1.0 };
-        (start + (1.0 - start) * now.since(started) / cold.secs().max(1e-3)).min(1.0)
+        (start_capacity + (1.0 - start_capacity) * now.since(started) / cold.secs().max(1e-3)).min(1.0)
     }
 
-    fn pace(&self, warmth: f64) -> f64 {
-        self.speed * warmth * (1.0 - self.taken) / self.slower
+    fn effective_speed(&self, warmth: f64) -> f64 {
+        self.speed * warmth * (1.0 - self.stolen_share) / self.slowdown
     }
 
-    /// A request arrives.
-    pub fn take(&mut self, now: Micros, attempt: u64, work_ms: f64, warmth: f64) -> Says {
-        match self.mood {
-            Mood::Dead => Says::Refused,
-            Mood::Silent | Mood::Hung => Says::Nothing,
-            Mood::Up if self.running < self.cores => Says::Begun(self.begin(now, work_ms, warmth)),
-            Mood::Up if self.queue.len() < QUEUE * self.cores => {
-                self.queue.push_back((attempt, work_ms));
-                Says::Waits
+    /// Takes an attempt that arrives.
+    pub fn accept(&mut self, now: Micros, attempt: u64, work_ms: f64, warmth: f64) -> Acceptance {
+        match self.state {
+            HostState::Down => Acceptance::Refused,
+            HostState::Unreachable | HostState::Hung => Acceptance::Unanswered,
+            HostState::Up if self.running < self.cores => {
+                Acceptance::Started(self.start_attempt(now, work_ms, warmth))
+            }
+            HostState::Up if self.queue.len() < QUEUE_PER_CORE * self.cores => {
+                self.queue.push_back(QueuedAttempt { attempt, work_ms });
+                Acceptance::Queued
             }
-            Mood::Up => Says::Refused,
+            HostState::Up => Acceptance::Refused,
         }
     }
 
-    fn begin(&mut self, now: Micros, work_ms: f64, warmth: f64) -> Micros {
-        self.look(now);
+    /// Starts an attempt on a free core; gives when it will be finished.
+    fn start_attempt(&mut self, now: Micros, work_ms: f64, warmth: f64) -> Micros {
+        self.account(now);
         self.running += 1;
-        Micros(now.0 + (work_ms * 1e3 / self.pace(warmth).max(1e-3)) as u64)
+        Micros(now.0 + (work_ms * 1e3 / self.effective_speed(warmth).max(1e-3)) as u64)
     }
 
-    /// A core is free again: the next attempt, and when it will be done.
-    pub fn next(&mut self, now: Micros, warmth: f64) -> Option<(u64, Micros)> {
-        self.look(now);
+    /// Frees a core; gives the next attempt that starts on it, and when that will be finished.
+    pub fn finish_attempt(&mut self, now: Micros, warmth: f64) -> Option<(u64, Micros)> {
+        self.account(now);
         self.running = self.running.saturating_sub(1);
-        if self.mood != Mood::Up {
+        if self.state != HostState::Up {
             return None;
         }
-        let (attempt, work) = self.queue.pop_front()?;
-        Some((attempt, self.begin(now, work, warmth)))
+        let next = self.queue.pop_front()?;
+        Some((next.attempt, self.start_attempt(now, next.work_ms, warmth)))
     }
 
-    fn look(&mut self, now: Micros) {
-        self.busy += now.since(self.looked) * self.running as f64;
-        self.looked = now;
+    /// Adds the core time since the last call.
+    fn account(&mut self, now: Micros) {
+        self.busy_seconds += now.since(self.accounted_until) * self.running as f64;
+        self.accounted_until = now;
     }
 
-    /// Busy share of its cores since the last such report.
-    pub fn report(&mut self, now: Micros, since: Micros) -> f64 {
-        self.look(now);
-        let span = now.since(since).max(1e-6) * self.cores as f64;
-        let other = self.taken;
-        (std::mem::take(&mut self.busy) / span + other).min(1.0)
+    /// Busy share of its cores since the last report, which was at `since`.
+    pub fn report_utilization(&mut self, now: Micros, since: Micros) -> f64 {
+        self.account(now);
+        let core_seconds = now.since(since).max(1e-6) * self.cores as f64;
+        (std::mem::take(&mut self.busy_seconds) / core_seconds + self.stolen_share).min(1.0)
     }
 
-    /// It goes; what it had in hand is lost.
-    pub fn stop(&mut self, now: Micros, mood: Mood) {
-        self.look(now);
-        (self.mood, self.running) = (mood, 0);
-        self.life += 1;
+    /// Stops serving; what it had in hand is lost.
+    pub fn stop(&mut self, now: Micros, state: HostState) {
+        self.account(now);
+        self.state = state;
+        self.running = 0;
+        self.incarnation += 1;
         self.queue.clear();
     }
 
-    /// It comes back, cold.
-    pub fn start(&mut self, now: Micros) {
-        self.stop(now, Mood::Up);
-        (self.started, self.listed) = (Some(now), Readiness::Ready);
-        (self.slower, self.taken, self.errors) = (1.0, 0.0, 0.0);
-        self.brought.clear();
+    /// Starts again, cold and without faults.
+    pub fn restart(&mut self, now: Micros) {
+        self.stop(now, HostState::Up);
+        self.started = Some(now);
+        self.listed = Readiness::Ready;
+        self.slowdown = 1.0;
+        self.stolen_share = 0.0;
+        self.error_share = 0.0;
+        self.cold_work.clear();
     }
 
-    /// Work is brought to it while it is cold: how much of what it stands that comes to, as a share of the most.
-    pub fn bring(&mut self, now: Micros, work_ms: f64, warmth: f64, factor: f64, over: Micros) -> f64 {
-        self.brought.push_back((now, work_ms));
-        while self.brought.front().is_some_and(|(at, _)| now.since(*at) > over.secs()) {
-            self.brought.pop_front();
+    /// Counts work that arrives while it is cold; gives how near it is to falling over: 1 is the limit.
+    pub fn add_cold_work(&mut self, now: Micros, work_ms: f64, warmth: f64, limit: &OverloadLimit) -> f64 {
+        self.cold_work.push_back((now, work_ms));
+        let window = limit.window.secs();
+        while self.cold_work.front().is_some_and(|(at, _)| now.since(*at) > window) {
+            self.cold_work.pop_front();
         }
-        let brought: f64 = self.brought.iter().map(|(_, work)| work).sum();
-        let can = self.cores as f64 * self.speed * warmth * over.secs() * 1e3;
-        brought / (factor * can).max(1e-9)
+        let arrived: f64 = self.cold_work.iter().map(|(_, work)| work).sum();
+        let capacity = self.cores as f64 * self.speed * warmth * window * 1e3;
+        arrived / (limit.factor * capacity).max(1e-9)
     }
 }
--- a/crates/wingfold-lab/src/simulation/actions.rs
+++ b/crates/wingfold-lab/src/simulation/actions.rs
@@ -2,7 +2,7 @@
 
 use super::event::Happens;
 use super::World;
-use crate::proxy::Rule;
+use crate::proxy::RoutingRule;
 use rand_distr::{Distribution, Exp};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -59,11 +59,11 @@
                 lines.filter_map(|(host, weight)| Some((*self.names.get(host)?, *weight))).collect();
             director.snapshots.insert(table, Arc::new(lines));
         }
-        let life = director.life;
+        let incarnation = director.incarnation;
         for (when, token) in later {
             match token {
-                Some(token) => self.at(when, Happens::Timer(at, life, token)),
-                None => self.at(when, Happens::List(at, life)),
+                Some(token) => self.at(when, Happens::Timer(at, incarnation, token)),
+                None => self.at(when, Happens::List(at, incarnation)),
             }
         }
         cost.retain(|proxy, _| self.proxies[*proxy].director == Some(at));
@@ -78,7 +78,7 @@
             let answers = marks.iter().map(|mark| Event::Applied(ProxyId(proxy as u32), *mark, took));
             let answers: Vec<Event> = answers.collect();
             if !answers.is_empty() {
-                self.at(Micros(arrives.0 + 2_000), Happens::Deliver(at, life, answers));
+                self.at(Micros(arrives.0 + 2_000), Happens::Deliver(at, incarnation, answers));
             }
         }
         words.into_iter().for_each(|(to, word)| self.word(at, to, word));
@@ -109,8 +109,12 @@
             let Some(table) = table else { return known.rules[class].clone() };
             let levels = director.mirror.tables.get(table).map(|table| &table.levels);
             let level = levels.into_iter().flatten().find(|(mask, _)| **mask >> class & 1 == 1);
-            let lines = director.snapshots.get(table).cloned().unwrap_or_default();
-            Rule { lines, level: level.map_or(1.0, |level| *level.1), retry: known.rules[class].retry }
+            let weights = director.snapshots.get(table).cloned().unwrap_or_default();
+            RoutingRule {
+                weights,
+                level: level.map_or(1.0, |level| *level.1),
+                retry: known.rules[class].retry,
+            }
         };
         let rules = (0..self.plan.loads.len()).map(rule).collect();
         let stream = known.stream;
--- a/crates/wingfold-lab/src/simulation/director.rs
+++ b/crates/wingfold-lab/src/simulation/director.rs
@@ -1,7 +1,7 @@
 //! One director of the simulation: the real decision module, its capture, and what the site knows of it.
 
 use super::World;
-use crate::proxy::Lines;
+use crate::proxy::HostWeights;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use wingfold_archive::{direct, Disk, Folder};
@@ -13,12 +13,12 @@
 pub(super) struct Controller {
     pub(super) module: Option<Director>,
     pub(super) tap: Option<Tap<Box<dyn Queue>>>,
-    pub(super) life: u32,
+    pub(super) incarnation: u32,
     pub(super) started: Micros,
     pub(super) stalled: bool,
     pub(super) waiting: Vec<Event>,
     pub(super) mirror: Mirror,
-    pub(super) snapshots: BTreeMap<TableId, Lines>,
+    pub(super) snapshots: BTreeMap<TableId, HostWeights>,
     pub(super) users: BTreeMap<TableId, BTreeSet<usize>>,
     /// When the channel will have sent all that waits, and when each proxy's last message arrives.
     pub(super) free: Micros,
@@ -31,8 +31,8 @@
 impl World<'_> {
     pub(super) fn start_director(&mut self, at: usize) -> io::Result<()> {
         let settings = Settings { me: at as u32, ..self.plan.settings.clone() };
-        let life = self.directors[at].life + 1;
-        let seed = self.seed ^ (at as u64) << 32 ^ u64::from(life) << 48;
+        let incarnation = self.directors[at].incarnation + 1;
+        let seed = self.seed ^ (at as u64) << 32 ^ u64::from(incarnation) << 48;
         let tap = match self.captures {
             None => None,
             Some(root) => {
@@ -54,7 +54,7 @@
         };
         let director = &mut self.directors[at];
         director.module = Some(Director::new(settings, seed));
-        (director.tap, director.life, director.started) = (tap, life, self.now);
+        (director.tap, director.incarnation, director.started) = (tap, incarnation, self.now);
         (director.mirror, director.free) = (Mirror::default(), self.now);
         director.snapshots.clear();
         director.users.clear();
--- a/crates/wingfold-lab/src/simulation/discovery.rs
+++ b/crates/wingfold-lab/src/simulation/discovery.rs
@@ -19,9 +19,9 @@
     pub(super) fn spread(&mut self, told: Entry) {
         for director in 0..self.directors.len() {
             let lag = self.between(self.plan.lag, Micros(self.plan.lag.0 * 2));
-            let life = self.directors[director].life;
+            let incarnation = self.directors[director].incarnation;
             let events = vec![Event::List(ListKind::Changes, vec![told.clone()])];
-            self.after(lag, Happens::Deliver(director, life, events));
+            self.after(lag, Happens::Deliver(director, incarnation, events));
         }
     }
 }
--- a/crates/wingfold-lab/src/simulation/event.rs
+++ b/crates/wingfold-lab/src/simulation/event.rs
@@ -1,6 +1,6 @@
 //! What happens in the simulation, and the order in which it does.
 
-use crate::proxy::Rule;
+use crate::proxy::RoutingRule;
 use std::cmp::Ordering;
 use wingfold_director::interface::{Event, Micros};
 
@@ -8,13 +8,13 @@
     Arrive(usize, u32),
     /// An attempt reaches its host.
     Reach(u64, usize),
-    /// A core has done with an attempt, in that life of the host.
+    /// A core has done with an attempt, in that incarnation of the host.
     Done(usize, u64, u32),
     Answer(u64, End),
     Report,
     Deliver(usize, u32, Vec<Event>),
     Timer(usize, u32, u64),
-    Orders(usize, u32, Vec<Rule>),
+    Orders(usize, u32, Vec<RoutingRule>),
     Join(usize),
     Leave(usize, u32),
     Look,
--- a/crates/wingfold-lab/src/simulation/faults.rs
+++ b/crates/wingfold-lab/src/simulation/faults.rs
@@ -3,7 +3,7 @@
 use super::discovery::entry;
 use super::event::{Happens, Stage};
 use super::World;
-use crate::host::{Host, Mood};
+use crate::host::{Host, HostState};
 use crate::scenario::{Fault, Scenario, Struck, Trouble};
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
@@ -15,10 +15,10 @@
         match stage {
             Stage::Drain => self.hosts[host].listed = Readiness::Draining,
             Stage::Stop => {
-                self.hosts[host].stop(self.now, Mood::Dead);
+                self.hosts[host].stop(self.now, HostState::Down);
                 self.hosts[host].listed = Readiness::Gone;
             }
-            Stage::Start => self.hosts[host].start(self.now),
+            Stage::Start => self.hosts[host].restart(self.now),
         }
         self.announce(host);
     }
@@ -35,17 +35,17 @@
         match &fault.trouble {
             Trouble::Crash | Trouble::Vanish | Trouble::Hang => {
                 for host in hosts {
-                    let mood = match fault.trouble {
-                        Trouble::Crash => Mood::Dead,
-                        Trouble::Vanish => Mood::Silent,
-                        _ => Mood::Hung,
+                    let state = match fault.trouble {
+                        Trouble::Crash => HostState::Down,
+                        Trouble::Vanish => HostState::Unreachable,
+                        _ => HostState::Hung,
                     };
                     match begins {
                         false => self.stage(host, Stage::Start),
                         true => {
-                            self.hosts[host].stop(now, mood);
+                            self.hosts[host].stop(now, state);
                             // The list only sees that a process is gone; of a machine that vanished, much later.
-                            if mood == Mood::Dead {
+                            if state == HostState::Down {
                                 self.hosts[host].listed = Readiness::Gone;
                                 self.announce(host);
                             }
@@ -54,13 +54,13 @@
                 }
             }
             Trouble::Slow(times) => {
-                hosts.iter().for_each(|h| self.hosts[*h].slower = if begins { *times } else { 1.0 })
+                hosts.iter().for_each(|h| self.hosts[*h].slowdown = if begins { *times } else { 1.0 })
             }
             Trouble::Neighbour(part) => {
-                hosts.iter().for_each(|h| self.hosts[*h].taken = if begins { *part } else { 0.0 })
+                hosts.iter().for_each(|h| self.hosts[*h].stolen_share = if begins { *part } else { 0.0 })
             }
             Trouble::Errors(part) => {
-                hosts.iter().for_each(|h| self.hosts[*h].errors = if begins { *part } else { 0.0 })
+                hosts.iter().for_each(|h| self.hosts[*h].error_share = if begins { *part } else { 0.0 })
             }
             Trouble::Drain(by) => match begins {
                 true => {
@@ -115,7 +115,7 @@
                 for proxy in
                     (0..self.proxies.len()).filter(|at| self.proxies[*at].zone == zone).collect::<Vec<_>>()
                 {
-                    self.proxies[proxy].asks += 1;
+                    self.proxies[proxy].arrival_epoch += 1;
                     self.next_arrival(proxy);
                 }
             }
@@ -135,9 +135,9 @@
             Trouble::DiscoveryDown => {
                 self.silent_list = begins;
                 for at in 0..self.directors.len() {
-                    let life = self.directors[at].life;
+                    let incarnation = self.directors[at].incarnation;
                     if begins {
-                        self.after(Micros(5000), Happens::Deliver(at, life, vec![Event::ListFailed]));
+                        self.after(Micros(5000), Happens::Deliver(at, incarnation, vec![Event::ListFailed]));
                     }
                 }
             }
@@ -149,7 +149,7 @@
                             tap.queue().end()?;
                         }
                         (self.directors[at].module, self.directors[at].tap) = (None, None);
-                        self.directors[at].life += 1;
+                        self.directors[at].incarnation += 1;
                         for proxy in 0..self.proxies.len() {
                             if self.proxies[proxy].director == Some(at) {
                                 self.leave(proxy);
--- a/crates/wingfold-lab/src/simulation/mod.rs
+++ b/crates/wingfold-lab/src/simulation/mod.rs
@@ -125,22 +125,22 @@
 
     fn happen(&mut self, what: Happens) -> io::Result<()> {
         match what {
-            Happens::Arrive(proxy, asks) => {
-                if self.proxies[proxy].asks == asks {
+            Happens::Arrive(proxy, epoch) => {
+                if self.proxies[proxy].arrival_epoch == epoch {
                     self.arrive(proxy);
                 }
             }
             Happens::Reach(attempt, host) => self.reach(attempt, host),
-            Happens::Done(host, attempt, life) => self.done(host, attempt, life),
+            Happens::Done(host, attempt, incarnation) => self.done(host, attempt, incarnation),
             Happens::Answer(attempt, end) => self.answer(attempt, end),
             Happens::Report => self.report(),
-            Happens::Deliver(at, life, events) => {
-                if self.directors[at].life == life {
+            Happens::Deliver(at, incarnation, events) => {
+                if self.directors[at].incarnation == incarnation {
                     self.tell(at, events)?;
                 }
             }
-            Happens::Timer(at, life, token) => {
-                if self.directors[at].life == life {
+            Happens::Timer(at, incarnation, token) => {
+                if self.directors[at].incarnation == incarnation {
                     self.tell(at, vec![Event::Timer(token)])?;
                 }
             }
@@ -162,8 +162,8 @@
             Happens::Chatter(at) => self.chatter(at),
             Happens::Fault(at, begins) => self.fault(at, begins)?,
             Happens::Stage(hosts, stage) => hosts.into_iter().for_each(|host| self.stage(host, stage)),
-            Happens::List(at, life) => {
-                if self.directors[at].life == life {
+            Happens::List(at, incarnation) => {
+                if self.directors[at].incarnation == incarnation {
                     let event = match self.silent_list {
                         true => Event::ListFailed,
                         false => Event::List(
--- a/crates/wingfold-lab/src/simulation/peers.rs
+++ b/crates/wingfold-lab/src/simulation/peers.rs
@@ -22,8 +22,8 @@
             if to.is_some_and(|to| to as usize != at) || lost || self.parted(one, other) {
                 continue;
             }
-            let (way, life) = (self.way(one, other), self.directors[at].life);
-            self.after(way, Happens::Deliver(at, life, vec![Event::Peer(from as u32, word.clone())]));
+            let (way, incarnation) = (self.way(one, other), self.directors[at].incarnation);
+            self.after(way, Happens::Deliver(at, incarnation, vec![Event::Peer(from as u32, word.clone())]));
         }
     }
 }
--- a/crates/wingfold-lab/src/simulation/reports.rs
+++ b/crates/wingfold-lab/src/simulation/reports.rs
@@ -2,8 +2,8 @@
 
 use super::event::Happens;
 use super::World;
-use crate::host::Mood;
-use crate::proxy::Met;
+use crate::host::HostState;
+use crate::proxy::{AttemptStats, ClassUsage};
 use rand::seq::SliceRandom;
 use rand::Rng;
 use std::collections::BTreeMap;
@@ -15,8 +15,8 @@
         self.after(period, Happens::Report);
         let since = std::mem::replace(&mut self.reported, self.now);
         for (host, busy) in self.hosts.iter_mut().zip(&mut self.busy) {
-            if host.mood == Mood::Up {
-                *busy = Some(host.report(self.now, since));
+            if host.state == HostState::Up {
+                *busy = Some(host.report_utilization(self.now, since));
             }
         }
         for director in 0..self.directors.len() {
@@ -39,13 +39,13 @@
                     }
                 }
                 later.shuffle(&mut self.chance);
-                let life = self.directors[director].life;
+                let incarnation = self.directors[director].incarnation;
                 let base = Micros(self.plan.late.0 + self.late.0);
                 let first = self.between(base, Micros(base.0 + self.plan.late.0));
                 let second = self.between(first, Micros(first.0 + period.0 * 3 / 2));
-                self.after(first, Happens::Deliver(director, life, usual));
+                self.after(first, Happens::Deliver(director, incarnation, usual));
                 if !later.is_empty() {
-                    self.after(second, Happens::Deliver(director, life, later));
+                    self.after(second, Happens::Deliver(director, incarnation, later));
                 }
             }
         }
@@ -53,20 +53,17 @@
 
     fn sums(&mut self, director: usize, zone: usize, over: Micros) -> Vec<Event> {
         let name = self.plan.settings.zones[zone].clone();
-        let (mut met, mut events): (BTreeMap<usize, Met>, _) = (BTreeMap::new(), Vec::new());
+        let (mut met, mut events): (BTreeMap<usize, AttemptStats>, _) = (BTreeMap::new(), Vec::new());
         let told = self.plan.settings.load_reports != LoadReports::Never;
         for (at, proxy) in self.proxies.iter_mut().enumerate() {
             if proxy.zone != zone || proxy.director != Some(director) {
                 continue;
             }
-            for (host, one) in std::mem::take(&mut proxy.met) {
-                let all = met.entry(host).or_default();
-                all.tries += one.tries;
-                all.lost += one.lost;
-                all.ms += one.ms;
+            for (host, one) in std::mem::take(&mut proxy.host_stats) {
+                met.entry(host).or_default().add(&one);
             }
-            for (class, usage) in proxy.usage.iter_mut().enumerate() {
-                let (total, lost) = std::mem::take(usage);
+            for (class, usage) in proxy.class_usage.iter_mut().enumerate() {
+                let ClassUsage { total, lost } = std::mem::take(usage);
                 if total > 0 {
                     let sums = Sums { total, lost, over };
                     events.push(Event::Usage(ProxyId(at as u32), ClassId(class), sums));
@@ -74,10 +71,15 @@
             }
         }
         events.extend(met.into_iter().map(|(host, met)| {
-            let sums = Sums { total: met.tries, lost: met.lost, over };
-            let mean = met.ms / (met.tries - met.lost).max(1) as f64;
+            let sums = Sums { total: met.attempts, lost: met.failures, over };
             let load = Load { busy: self.busy[host].filter(|_| told), ..Load::default() };
-            Event::Heard(name.clone(), self.hosts[host].id.clone(), sums, Micros((mean * 1e3) as u64), load)
+            Event::Heard(
+                name.clone(),
+                self.hosts[host].id.clone(),
+                sums,
+                Micros((met.mean_latency_ms() * 1e3) as u64),
+                load,
+            )
         }));
         events
     }
--- a/crates/wingfold-lab/src/simulation/requests.rs
+++ b/crates/wingfold-lab/src/simulation/requests.rs
@@ -2,7 +2,7 @@
 
 use super::event::{End, Happens};
 use super::World;
-use crate::host::{Mood, Says};
+use crate::host::{Acceptance, HostState, OverloadLimit};
 use crate::results::WINDOW_S;
 use rand::Rng;
 use rand_distr::{Distribution, Exp, LogNormal};
@@ -14,7 +14,7 @@
 const CONNECT: Micros = Micros(500_000);
 
 /// A proxy shuns a host that failed it in a row for so long.
-const SHUN: Micros = Micros(5_000_000);
+const EJECTION_TIME: Micros = Micros(5_000_000);
 
 pub(super) struct Request {
     pub(super) proxy: usize,
@@ -32,8 +32,8 @@
         let zone = self.proxies[proxy].zone;
         let rate = (self.proxies[proxy].rate * self.burst * self.traffic[zone]).max(1e-6);
         let wait = Exp::new(rate).expect("the rate is above 0").sample(&mut self.arrivals);
-        let asks = self.proxies[proxy].asks;
-        self.after(Micros::from_secs(wait), Happens::Arrive(proxy, asks));
+        let epoch = self.proxies[proxy].arrival_epoch;
+        self.after(Micros::from_secs(wait), Happens::Arrive(proxy, epoch));
     }
 
     fn window(&mut self, arrived: Micros) -> &mut (f64, f64) {
@@ -55,7 +55,7 @@
         let (now, zone) = (self.now, self.proxies[proxy].zone);
         self.played.served[zone][class].asked += 1;
         self.window(now).0 += self.plan.loads[class].class.worth;
-        self.proxies[proxy].usage[class].0 += 1;
+        self.proxies[proxy].class_usage[class].total += 1;
         let rates = self.plan.settings.admission == Admission::Rate;
         let obeys = self.plan.settings.admission != Admission::Ignored;
         if obeys && !self.proxies[proxy].admits(now, class, rates, &mut self.chance) {
@@ -75,7 +75,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (proxy, class, not) = (request.proxy, request.class, request.host);
         let not = (not != usize::MAX).then_some(not);
-        let Some(host) = self.proxies[proxy].pick(self.now, class, not, &mut self.chance) else {
+        let Some(host) = self.proxies[proxy].pick_host(self.now, class, not, &mut self.chance) else {
             self.settle(id, false);
             return;
         };
@@ -103,20 +103,21 @@
         let warmth = self.warmth(host);
         let Some(request) = self.requests.get_mut(&(attempt & !3)) else { return };
         let (now, work, set) = (self.now, request.work_ms, &self.plan.settings);
-        if warmth < 1.0 && self.hosts[host].mood == Mood::Up {
-            let stands = self.hosts[host].bring(now, work, warmth, set.overload_factor, set.overload_for);
+        let limit = OverloadLimit { factor: set.overload_factor, window: set.overload_for };
+        if warmth < 1.0 && self.hosts[host].state == HostState::Up {
+            let stands = self.hosts[host].add_cold_work(now, work, warmth, &limit);
             self.played.margins.cold = self.played.margins.cold.max(stands);
             if stands > 1.0 {
                 // It falls over and stays down.
-                self.hosts[host].stop(now, Mood::Dead);
+                self.hosts[host].stop(now, HostState::Down);
                 self.hosts[host].listed = Readiness::Gone;
                 self.announce(host);
             }
         }
-        match self.hosts[host].take(now, attempt, work, warmth) {
-            Says::Begun(done) => self.run(attempt, host, done),
-            Says::Waits | Says::Nothing => {}
-            Says::Refused => {
+        match self.hosts[host].accept(now, attempt, work, warmth) {
+            Acceptance::Started(done) => self.run(attempt, host, done),
+            Acceptance::Queued | Acceptance::Unanswered => {}
+            Acceptance::Refused => {
                 let back = self.way(0, 0);
                 self.after(back, Happens::Answer(attempt, End::Refused));
             }
@@ -129,16 +130,16 @@
             let once = self.plan.loads[request.class].class.effect == Effect::AtMostOnce;
             self.played.margins.twice += u64::from(once && request.ran > 1);
         }
-        let life = self.hosts[host].life;
-        self.at(done, Happens::Done(host, attempt, life));
+        let incarnation = self.hosts[host].incarnation;
+        self.at(done, Happens::Done(host, attempt, incarnation));
     }
 
-    pub(super) fn done(&mut self, host: usize, attempt: u64, life: u32) {
-        if self.hosts[host].life != life {
+    pub(super) fn done(&mut self, host: usize, attempt: u64, incarnation: u32) {
+        if self.hosts[host].incarnation != incarnation {
             return;
         }
         let warmth = self.warmth(host);
-        if let Some((next, done)) = self.hosts[host].next(self.now, warmth) {
+        if let Some((next, done)) = self.hosts[host].finish_attempt(self.now, warmth) {
             self.run(next, host, done);
         }
         let Some(request) = self.requests.get(&(attempt & !3)) else { return };
@@ -146,7 +147,8 @@
         if self.parted(from, to) {
             return;
         }
-        let error = self.hosts[host].errors > 0.0 && self.chance.random::<f64>() < self.hosts[host].errors;
+        let error =
+            self.hosts[host].error_share > 0.0 && self.chance.random::<f64>() < self.hosts[host].error_share;
         let back = self.way(from, to);
         self.after(back, Happens::Answer(attempt, if error { End::Failed } else { End::Good }));
     }
@@ -160,12 +162,14 @@
         }
         let (proxy, class, host, tries) = (request.proxy, request.class, request.host, request.tries);
         let took = self.now.since(request.sent) * 1e3;
-        let good = (end == End::Good).then_some(took);
-        self.proxies[proxy].count(self.now, host, good, self.plan.settings.ejects, SHUN);
         if end == End::Good {
+            self.proxies[proxy].record_success(host, took);
             self.settle(id, true);
             return;
         }
+        if self.proxies[proxy].record_failure(host, self.plan.settings.ejects) {
+            self.proxies[proxy].eject(host, Micros(self.now.0 + EJECTION_TIME.0));
+        }
         let again = match self.proxies[proxy].rules[class].retry {
             Retry::Never => false,
             Retry::OnProof => end == End::Refused && tries < 2,
@@ -192,7 +196,7 @@
         if good {
             self.played.times[request.class].saturating_record((took * 1e6) as u64);
         } else {
-            self.proxies[request.proxy].usage[request.class].1 += 1;
+            self.proxies[request.proxy].class_usage[request.class].lost += 1;
         }
         let served = &mut self.played.served[zone][request.class];
         match (in_time, good) {
--- a/crates/wingfold-lab/src/simulation/setup.rs
+++ b/crates/wingfold-lab/src/simulation/setup.rs
@@ -110,7 +110,7 @@
             self.directors.push(Controller {
                 module: None,
                 tap: None,
-                life: 0,
+                incarnation: 0,
                 started: Micros(0),
                 stalled: false,
                 waiting: Vec::new(),
--- a/crates/wingfold-lab/src/simulation/streams.rs
+++ b/crates/wingfold-lab/src/simulation/streams.rs
@@ -25,11 +25,11 @@
         }
         let at = open[self.chance.random_range(0..open.len())];
         let joined = &mut self.proxies[proxy];
-        (joined.director, joined.joined_at) = (Some(at), self.now);
+        (joined.director, joined.connected_at) = (Some(at), self.now);
         joined.stream += 1;
         let event = Event::Joined(ProxyId(proxy as u32), self.plan.settings.zones[zone].clone(), joined.rate);
-        let life = self.directors[at].life;
-        self.after(Micros(3000), Happens::Deliver(at, life, vec![event]));
+        let incarnation = self.directors[at].incarnation;
+        self.after(Micros(3000), Happens::Deliver(at, incarnation, vec![event]));
     }
 
     /// Its stream breaks: its director notices sooner or later, and it dials again.
@@ -41,10 +41,10 @@
         director.users.values_mut().for_each(|users| users.retain(|user| *user != proxy));
         director.mirror.bound.retain(|(of, _), _| *of != id);
         director.arrives.remove(&proxy);
-        let life = director.life;
+        let incarnation = director.incarnation;
         let noticed = self.between(Micros(10_000), Micros(200_000));
         let again = self.between(Micros(300_000), Micros(1_500_000));
-        self.after(noticed, Happens::Deliver(at, life, vec![Event::Left(id)]));
+        self.after(noticed, Happens::Deliver(at, incarnation, vec![Event::Left(id)]));
         self.after(again, Happens::Join(proxy));
     }
 }
