--- a/crates/wingfold-archive/tests/common/mod.rs
+++ b/crates/wingfold-archive/tests/common/mod.rs
@@ -48,7 +48,7 @@
     let mut days = DAYS.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     let played = days.entry((name.to_string(), seed)).or_insert_with(|| {
         let place = Place::new();
-        wingfold_lab::play(&scenario(name), seed, Some(&place.0)).unwrap();
+        wingfold_lab::simulate(&scenario(name), seed, Some(&place.0)).unwrap();
         Archive::open(&place.0.join("director-0")).unwrap().sources[0].read().unwrap()
     });
     played.clone()
--- a/crates/wingfold-lab/src/host.rs
+++ b/crates/wingfold-lab/src/host.rs
@@ -1,5 +1,6 @@
 //! One host: cores that serve a queue, slower while cold, slow, or crowded; and what discovery and reports show of it.
 
+use crate::attempt::AttemptId;
 use std::collections::VecDeque;
 use wingfold_director::interface::{HostId, Micros, Readiness};
 
@@ -44,7 +45,7 @@
 /// An attempt that waits for a core.
 #[derive(Clone, Copy, Debug)]
 struct QueuedAttempt {
-    attempt: u64,
+    attempt: AttemptId,
     work_ms: f64,
 }
 
@@ -119,7 +120,7 @@
     }
 
     /// Takes an attempt that arrives.
-    pub fn accept(&mut self, now: Micros, attempt: u64, work_ms: f64, warmth: f64) -> Acceptance {
+    pub fn accept(&mut self, now: Micros, attempt: AttemptId, work_ms: f64, warmth: f64) -> Acceptance {
         match self.state {
             HostState::Down => Acceptance::Refused,
             HostState::Unreachable | HostState::Hung => Acceptance::Unanswered,
@@ -142,7 +143,7 @@
     }
 
     /// Frees a core; gives the next attempt that starts on it, and when that will be finished.
-    pub fn finish_attempt(&mut self, now: Micros, warmth: f64) -> Option<(u64, Micros)> {
+    pub fn finish_attempt(&mut self, now: Micros, warmth: f64) -> Option<(AttemptId, Micros)> {
         self.account(now);
         self.running = self.running.saturating_sub(1);
         if self.state != HostState::Up {
--- a/crates/wingfold-lab/src/report.rs
+++ b/crates/wingfold-lab/src/report.rs
@@ -1,108 +1,134 @@
 //! An experiment as tables (Markdown and CSV) and a chart (SVG).
 
-use crate::experiment::{Experiment, Mean};
-use crate::results::WINDOW_S;
+use crate::experiment::{Estimate, Experiment};
+use crate::results::{ServiceWindow, WINDOW_S};
+use plotters::coord::Shift;
 use plotters::prelude::*;
 use std::fmt::Write;
 use std::io;
 use std::path::Path;
 
-fn figure(mean: Mean) -> String {
-    match mean.off.is_finite() {
-        true => format!("{:.4} ± {:.4}", mean.mean, mean.off),
-        false => format!("{:.4}", mean.mean),
+const CHART_SIZE: (u32, u32) = (900, 360);
+const SEED_COLOR: RGBColor = RGBColor(190, 200, 215);
+const MEAN_COLOR: RGBColor = RGBColor(20, 60, 130);
+
+const CSV_HEADER: &str = "scenario,seed,zone,class,asked,refused,good,late,lost,service,worst_10s,\
+                          bare,twice,drain,cold,queue\n";
+
+fn estimate(estimate: Estimate) -> String {
+    match estimate.half_width.is_finite() {
+        true => format!("{:.4} ± {:.4}", estimate.mean, estimate.half_width),
+        false => format!("{:.4}", estimate.mean),
     }
 }
 
 /// The tables for people.
 pub fn markdown(experiment: &Experiment) -> String {
-    let (plan, mut out) = (&experiment.scenario, String::new());
+    let mut out = String::new();
+    write_summary(&mut out, experiment);
+    write_figures(&mut out, experiment);
+    write_classes(&mut out, experiment);
+    write_rules(&mut out, experiment);
+    out
+}
+
+fn write_summary(out: &mut String, experiment: &Experiment) {
+    let scenario = &experiment.scenario;
     let seeds: Vec<String> = experiment.runs.iter().map(|(seed, _)| seed.to_string()).collect();
-    let hosts: usize = plan.kinds.iter().map(|kind| kind.count).sum();
-    let _ = writeln!(out, "# {}\n\n{}\n", plan.name, plan.about);
+    let hosts: usize = scenario.host_kinds.iter().map(|kind| kind.count).sum();
+    let _ = writeln!(out, "# {}\n\n{}\n", scenario.name, scenario.description);
     let _ = writeln!(
         out,
         "{} directors, {} proxies, {hosts} hosts, {:.0} requests/s, {:.0} s of virtual time; seeds {}.\n",
-        plan.settings.directors,
-        plan.settings.proxies,
-        plan.rate,
-        plan.length.secs(),
+        scenario.settings.directors,
+        scenario.settings.proxies,
+        scenario.rate,
+        scenario.duration.secs(),
         seeds.join(", ")
     );
+}
+
+fn write_figures(out: &mut String, experiment: &Experiment) {
     let _ = writeln!(out, "| figure | mean, 95 % interval | median |\n| --- | --- | --- |");
     let figures = [
-        ("service (worth in time / worth asked)", experiment.mean(|p| p.service())),
-        ("service in the worst 10 s", experiment.mean(|p| p.worst())),
-        ("messages", experiment.mean(|p| p.messages as f64)),
-        ("lines", experiment.mean(|p| p.lines as f64)),
-        ("second tries", experiment.mean(|p| p.retries as f64)),
-        ("requests that crossed zones", experiment.mean(|p| p.crossed as f64)),
+        ("service (worth in time / worth asked)", experiment.mean(|run| run.service())),
+        ("service in the worst 10 s", experiment.mean(|run| run.worst_service())),
+        ("messages", experiment.mean(|run| run.messages as f64)),
+        ("lines", experiment.mean(|run| run.lines as f64)),
+        ("second tries", experiment.mean(|run| run.retries as f64)),
+        ("requests that crossed zones", experiment.mean(|run| run.cross_zone_attempts as f64)),
     ];
-    for (name, mean) in figures {
-        let _ = writeln!(out, "| {name} | {} | {:.4} |", figure(mean), mean.median);
+    for (name, figure) in figures {
+        let _ = writeln!(out, "| {name} | {} | {:.4} |", estimate(figure), figure.median);
     }
+}
+
+fn write_classes(out: &mut String, experiment: &Experiment) {
     let _ = writeln!(out, "\n| class | asked | turned away | in time | late | lost | p50 ms | p99 ms |");
     let _ = writeln!(out, "| --- | --- | --- | --- | --- | --- | --- | --- |");
-    for (at, load) in plan.loads.iter().enumerate() {
-        let (served, times) = (experiment.class(at), experiment.times(at));
-        let ms = |quantile: f64| times.value_at_quantile(quantile) as f64 / 1e3;
+    for (class, load) in experiment.scenario.classes.iter().enumerate() {
+        let counts = experiment.class(class);
+        let latencies = experiment.latencies(class);
+        let quantile_ms = |quantile: f64| latencies.value_at_quantile(quantile) as f64 / 1e3;
         let _ = writeln!(
             out,
             "| {} | {} | {} | {} | {} | {} | {:.0} | {:.0} |",
             load.name,
-            served.asked,
-            served.refused,
-            served.good,
-            served.late,
-            served.lost,
-            ms(0.5),
-            ms(0.99)
+            counts.asked,
+            counts.refused,
+            counts.good,
+            counts.late,
+            counts.lost,
+            quantile_ms(0.5),
+            quantile_ms(0.99)
         );
     }
+}
+
+fn write_rules(out: &mut String, experiment: &Experiment) {
     let worst = experiment.margins();
     let _ = writeln!(out, "\n| rule | nearest to its limit, of any seed |\n| --- | --- |");
-    for (name, part) in [
+    for (name, share) in [
         ("no proxy without a host", worst.bare),
         ("drains kept", worst.drain),
         ("no cold host pushed over", worst.cold),
         ("queue short", worst.queue),
     ] {
-        let _ = writeln!(out, "| {name} | {:.0} % |", 100.0 * part);
+        let _ = writeln!(out, "| {name} | {:.0} % |", 100.0 * share);
     }
     let _ = writeln!(out, "| no effect twice | {} effects |", worst.twice);
-    for (seed, what) in experiment.broken() {
-        let _ = writeln!(out, "\nBroken with seed {seed}: {}.", what.join("; "));
+    for (seed, broken) in experiment.broken() {
+        let _ = writeln!(out, "\nBroken with seed {seed}: {}.", broken.join("; "));
     }
-    out
 }
 
 /// One line a seed, zone and class, for machines.
 pub fn csv(experiment: &Experiment) -> String {
-    let plan = &experiment.scenario;
-    let mut out = String::from("scenario,seed,zone,class,asked,refused,good,late,lost,service,worst_10s,bare,twice,drain,cold,queue\n");
+    let scenario = &experiment.scenario;
+    let mut out = String::from(CSV_HEADER);
     let plain = |text: &str| text.replace([',', '"', '\n', '\r'], " ");
-    for (seed, played) in &experiment.runs {
-        for (zone, classes) in plan.settings.zones.iter().zip(&played.served) {
-            for (load, s) in plan.loads.iter().zip(classes) {
-                let m = &played.margins;
+    for (seed, result) in &experiment.runs {
+        for (zone, classes) in scenario.settings.zones.iter().zip(&result.counts) {
+            for (load, counts) in scenario.classes.iter().zip(classes) {
+                let margins = &result.margins;
                 let _ = writeln!(
                     out,
                     "{},{seed},{},{},{},{},{},{},{},{},{},{},{},{},{},{}",
-                    plain(&plan.name),
+                    plain(&scenario.name),
                     plain(&zone.0),
                     plain(&load.name),
-                    s.asked,
-                    s.refused,
-                    s.good,
-                    s.late,
-                    s.lost,
-                    played.service(),
-                    played.worst(),
-                    m.bare,
-                    m.twice,
-                    m.drain,
-                    m.cold,
-                    m.queue
+                    counts.asked,
+                    counts.refused,
+                    counts.good,
+                    counts.late,
+                    counts.lost,
+                    result.service(),
+                    result.worst_service(),
+                    margins.bare,
+                    margins.twice,
+                    margins.drain,
+                    margins.cold,
+                    margins.queue
                 );
             }
         }
@@ -114,52 +140,49 @@
 pub fn chart(experiment: &Experiment) -> Result<String, String> {
     let mut svg = String::new();
     {
-        let area = SVGBackend::with_string(&mut svg, (900, 360)).into_drawing_area();
-        let wrong = |error: &dyn std::fmt::Display| error.to_string();
-        area.fill(&WHITE).map_err(|e| wrong(&e))?;
-        let length = experiment.scenario.length.secs();
-        let mut chart = ChartBuilder::on(&area)
-            .margin(10)
-            .x_label_area_size(30)
-            .y_label_area_size(40)
-            .build_cartesian_2d(0.0..length, 0.0..1.05)
-            .map_err(|e| wrong(&e))?;
-        chart
-            .configure_mesh()
-            .max_light_lines(1)
-            .x_desc("s")
-            .y_desc("service")
-            .draw()
-            .map_err(|e| wrong(&e))?;
-        let share = |(asked, good): &(f64, f64)| if *asked > 0.0 { good / asked } else { 1.0 };
-        let points = |windows: Vec<f64>| {
-            windows
-                .into_iter()
-                .enumerate()
-                .map(|(at, value)| ((at as f64 + 0.5) * WINDOW_S, value))
-                .collect::<Vec<_>>()
-        };
-        for (_, played) in &experiment.runs {
-            let line = points(played.windows.iter().map(share).collect());
-            chart.draw_series(LineSeries::new(line, RGBColor(190, 200, 215))).map_err(|e| wrong(&e))?;
-        }
-        let windows = experiment.runs.first().map_or(0, |(_, played)| played.windows.len());
-        let mean = (0..windows).map(|at| experiment.mean(|played| share(&played.windows[at])).mean).collect();
-        let style = RGBColor(20, 60, 130).stroke_width(3);
-        chart.draw_series(LineSeries::new(points(mean), style)).map_err(|e| wrong(&e))?;
-        area.present().map_err(|e| wrong(&e))?;
+        let area = SVGBackend::with_string(&mut svg, CHART_SIZE).into_drawing_area();
+        draw_service(&area, experiment).map_err(|error| error.to_string())?;
+        area.present().map_err(|error| error.to_string())?;
     }
     Ok(svg)
 }
 
+type DrawingError<'a> = DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>;
+
+fn draw_service<'a>(
+    area: &DrawingArea<SVGBackend<'a>, Shift>,
+    experiment: &Experiment,
+) -> Result<(), DrawingError<'a>> {
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(area)
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(40)
+        .build_cartesian_2d(0.0..experiment.scenario.duration.secs(), 0.0..1.05)?;
+    chart.configure_mesh().max_light_lines(1).x_desc("s").y_desc("service").draw()?;
+    for (_, result) in &experiment.runs {
+        let shares = result.windows.iter().map(ServiceWindow::share).collect();
+        chart.draw_series(LineSeries::new(window_points(shares), SEED_COLOR))?;
+    }
+    let windows = experiment.runs.first().map_or(0, |(_, result)| result.windows.len());
+    let means = (0..windows).map(|at| experiment.mean(|result| result.windows[at].share()).mean).collect();
+    chart.draw_series(LineSeries::new(window_points(means), MEAN_COLOR.stroke_width(3)))?;
+    Ok(())
+}
+
+/// A point in the middle of each window.
+fn window_points(values: Vec<f64>) -> Vec<(f64, f64)> {
+    let point = |(at, value): (usize, f64)| ((at as f64 + 0.5) * WINDOW_S, value);
+    values.into_iter().enumerate().map(point).collect()
+}
+
 /// Writes all of it into a folder.
 pub fn write(experiment: &Experiment, folder: &Path) -> io::Result<()> {
     std::fs::create_dir_all(folder)?;
-    let name = |ending: &str| {
-        let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
-        folder.join(format!("{}.{ending}", experiment.scenario.name.chars().map(plain).collect::<String>()))
-    };
-    std::fs::write(name("md"), markdown(experiment))?;
-    std::fs::write(name("csv"), csv(experiment))?;
-    std::fs::write(name("svg"), chart(experiment).map_err(io::Error::other)?)
+    let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+    let stem: String = experiment.scenario.name.chars().map(plain).collect();
+    let path = |extension: &str| folder.join(format!("{stem}.{extension}"));
+    std::fs::write(path("md"), markdown(experiment))?;
+    std::fs::write(path("csv"), csv(experiment))?;
+    std::fs::write(path("svg"), chart(experiment).map_err(io::Error::other)?)
 }
--- a/crates/wingfold-lab/src/rules.rs
+++ b/crates/wingfold-lab/src/rules.rs
@@ -36,8 +36,8 @@
         broken
     }
 
-    /// Keeps the larger of both for each rule.
-    pub fn worst(&mut self, other: &Margins) {
+    /// Keeps the larger of both for each rule, and adds the effects that ran twice.
+    pub fn merge(&mut self, other: &Margins) {
         self.bare = self.bare.max(other.bare);
         self.twice += other.twice;
         self.drain = self.drain.max(other.drain);
@@ -46,7 +46,7 @@
     }
 }
 
-/// A part of a limit that a time makes up.
-pub fn part(time: f64, limit: Micros) -> f64 {
+/// A time as a share of its limit.
+pub fn share_of_limit(time: f64, limit: Micros) -> f64 {
     time / limit.secs().max(1e-6)
 }
--- a/crates/wingfold-lab/src/simulation/actions.rs
+++ b/crates/wingfold-lab/src/simulation/actions.rs
@@ -1,124 +1,167 @@
-//! Carries out a director's actions: the messages that its proxies get, its timers, and its messages to peers.
+//! Carries out a director's actions: rules for its proxies, timers, lists that it asks for, messages to peers.
 
-use super::event::Happens;
-use super::World;
-use crate::proxy::RoutingRule;
+use super::event::SimulationEvent;
+use super::Simulation;
+use crate::proxy::{HostWeights, RoutingRule};
+use crate::results::LogLine;
 use rand_distr::{Distribution, Exp};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use wingfold_director::interface::*;
 
-/// Lines of the log that are kept.
-const LOG: usize = 20_000;
+/// Lines of all logs that are kept.
+const MAX_LOG_LINES: usize = 20_000;
+/// How long discovery takes to answer a request for the list.
+const LIST_DELAY: Micros = Micros(30_000);
+/// How long the answer to a mark is under way from a proxy.
+const MARK_ANSWER_DELAY: Micros = Micros(2_000);
 
-impl World<'_> {
-    pub(super) fn carry_out(&mut self, at: usize, actions: &[Action]) {
-        let joined: Vec<usize> =
-            (0..self.proxies.len()).filter(|proxy| self.proxies[*proxy].director == Some(at)).collect();
-        let director = &mut self.directors[at];
-        let changed = director.mirror.apply(actions);
-        let mut cost: BTreeMap<usize, usize> = BTreeMap::new();
-        let (mut words, mut later) = (Vec::new(), Vec::new());
+impl Simulation<'_> {
+    /// Carries out the actions of one call.
+    pub(super) fn apply_actions(&mut self, director: usize, actions: &[Action]) {
+        let changed = self.directors[director].mirror.apply(actions);
+        let lines = self.lines_by_proxy(director, actions);
+        self.refresh_snapshots(director, &changed);
+        self.schedule_requested(director, actions);
+        self.keep_log(director, actions);
+        self.push_to_proxies(director, lines, &marks(actions));
+        for action in actions {
+            if let Action::Tell(to, message) = action {
+                self.send_peer_message(director, *to, message);
+            }
+        }
+    }
+
+    /// The lines that each proxy must be sent; proxies that are bound to a table are noted as its users.
+    fn lines_by_proxy(&mut self, director: usize, actions: &[Action]) -> BTreeMap<usize, usize> {
+        let connected = self.connected_proxies(director);
+        let mut lines: BTreeMap<usize, usize> = BTreeMap::new();
         for action in actions {
-            let users = |table: &TableId| director.users.get(table).into_iter().flatten().copied();
             match action {
                 Action::SetLine(table, ..) | Action::ClearTable(table) | Action::Admit(Some(table), ..) => {
-                    users(table).for_each(|proxy| *cost.entry(proxy).or_default() += 1);
+                    let users = self.directors[director].table_users.get(table);
+                    users.into_iter().flatten().for_each(|proxy| *lines.entry(*proxy).or_default() += 1);
                 }
                 Action::Bind(proxy, table, _) => {
                     let proxy = proxy.0 as usize;
-                    let lines =
-                        director.mirror.tables.get(table).map_or(0, |t| t.lines.len() + t.levels.len());
-                    *cost.entry(proxy).or_default() += 1 + lines;
-                    let mine = director.mirror.bound.iter().filter(|((of, _), _)| of.0 as usize == proxy);
-                    let mine: Vec<TableId> = mine.map(|(_, table)| *table).collect();
-                    director.users.values_mut().for_each(|users| users.retain(|user| *user != proxy));
-                    for table in mine {
-                        director.users.entry(table).or_default().insert(proxy);
-                    }
+                    *lines.entry(proxy).or_default() += 1 + self.directors[director].table_lines(*table);
+                    self.directors[director].refresh_table_users(proxy);
                 }
                 Action::Admit(None, ..) | Action::Withdraw(..) | Action::Mark(true, _) => {
-                    joined.iter().for_each(|proxy| *cost.entry(*proxy).or_default() += 1);
-                }
-                Action::Watch(true) | Action::FetchList => later.push((Micros(self.now.0 + 30_000), None)),
-                Action::Timer(when, token) => later.push((*when, Some(*token))),
-                Action::Tell(to, word) => words.push((*to, word.clone())),
-                Action::Log(text) if self.played.log.len() < LOG => {
-                    self.played.log.push((self.now, at, text.clone()));
+                    connected.iter().for_each(|proxy| *lines.entry(*proxy).or_default() += 1);
                 }
                 _ => {}
             }
         }
+        lines.retain(|proxy, _| self.proxies[*proxy].director == Some(director));
+        lines
+    }
+
+    fn connected_proxies(&self, director: usize) -> Vec<usize> {
+        (0..self.proxies.len()).filter(|proxy| self.proxies[*proxy].director == Some(director)).collect()
+    }
+
+    /// Takes over the weights of tables that changed, without hosts that were withdrawn.
+    fn refresh_snapshots(&mut self, director: usize, changed: &[TableId]) {
         for table in changed {
-            let lines = director.mirror.tables.get(&table).map(|table| &table.lines);
-            let lines = lines
-                .into_iter()
-                .flatten()
-                .filter(|(host, _)| !director.mirror.withdrawn.get(*host).is_some_and(|out| *out));
-            let lines: Vec<(usize, f64)> =
-                lines.filter_map(|(host, weight)| Some((*self.names.get(host)?, *weight))).collect();
-            director.snapshots.insert(table, Arc::new(lines));
+            let mirror = &self.directors[director].mirror;
+            let lines = mirror.tables.get(table).into_iter().flat_map(|table| &table.lines);
+            let usable = lines.filter(|(host, _)| mirror.withdrawn.get(*host) != Some(&true));
+            let indexed = usable.filter_map(|(host, weight)| Some((*self.host_index.get(host)?, *weight)));
+            let weights: HostWeights = Arc::new(indexed.collect());
+            self.directors[director].snapshots.insert(*table, weights);
+        }
+    }
+
+    /// Schedules timers, and the lists that were asked for.
+    fn schedule_requested(&mut self, director: usize, actions: &[Action]) {
+        let incarnation = self.directors[director].incarnation;
+        for action in actions {
+            match action {
+                Action::Watch(true) | Action::FetchList => {
+                    self.schedule_after(LIST_DELAY, SimulationEvent::ListFetched { director, incarnation });
+                }
+                Action::Timer(at, token) => {
+                    let timer = SimulationEvent::TimerFires { director, incarnation, token: *token };
+                    self.schedule_at(*at, timer);
+                }
+                _ => {}
+            }
         }
-        let incarnation = director.incarnation;
-        for (when, token) in later {
-            match token {
-                Some(token) => self.at(when, Happens::Timer(at, incarnation, token)),
-                None => self.at(when, Happens::List(at, incarnation)),
+    }
+
+    fn keep_log(&mut self, director: usize, actions: &[Action]) {
+        let log = &mut self.result.log;
+        for action in actions {
+            match action {
+                Action::Log(text) if log.len() < MAX_LOG_LINES => {
+                    log.push(LogLine { at: self.now, director, text: text.clone() });
+                }
+                _ => {}
             }
         }
-        cost.retain(|proxy, _| self.proxies[*proxy].director == Some(at));
-        let marks = actions.iter().filter_map(|action| match action {
-            Action::Mark(_, number) => Some(*number),
-            _ => None,
-        });
-        let marks: Vec<u64> = marks.collect();
-        for (proxy, lines) in cost {
-            let arrives = self.message(at, proxy, lines + marks.len());
+    }
+
+    /// Sends each proxy its lines with all marks; proxies answer the marks.
+    fn push_to_proxies(&mut self, director: usize, lines: BTreeMap<usize, usize>, marks: &[u64]) {
+        let incarnation = self.directors[director].incarnation;
+        for (proxy, lines) in lines {
+            let arrives = self.push_rules(director, proxy, lines + marks.len());
             let took = Micros(arrives.0 - self.now.0);
-            let answers = marks.iter().map(|mark| Event::Applied(ProxyId(proxy as u32), *mark, took));
-            let answers: Vec<Event> = answers.collect();
-            if !answers.is_empty() {
-                self.at(Micros(arrives.0 + 2_000), Happens::Deliver(at, incarnation, answers));
+            let applied = |mark: &u64| Event::Applied(ProxyId(proxy as u32), *mark, took);
+            let events: Vec<Event> = marks.iter().map(applied).collect();
+            if !events.is_empty() {
+                let answered = Micros(arrives.0 + MARK_ANSWER_DELAY.0);
+                let answer = SimulationEvent::DirectorReceives { director, incarnation, events };
+                self.schedule_at(answered, answer);
             }
         }
-        words.into_iter().for_each(|(to, word)| self.word(at, to, word));
     }
 
-    /// Sends a proxy all that it goes by now, as one message of so many lines; gives when that arrives.
-    fn message(&mut self, at: usize, proxy: usize, lines: usize) -> Micros {
-        let set = &self.plan.settings;
-        let mean = set.push_delay.secs().max(1e-6);
-        let delay = Exp::new(1.0 / mean).expect("the mean is above 0").sample(&mut self.chance);
-        let director = &mut self.directors[at];
-        let cost = lines as f64 + set.message_overhead;
-        director.free = Micros(director.free.max(self.now).0 + (cost / set.lines_per_s * 1e6) as u64);
-        let waiting = director.free.since(self.now) * set.lines_per_s;
-        self.played.margins.queue = self.played.margins.queue.max(waiting / set.queue_max);
-        self.played.messages += 1;
-        self.played.lines += lines as u64;
-        let delay = Micros::from_secs(delay.min(set.push_delay_max.secs()));
-        let last = director.arrives.entry(proxy).or_default();
-        *last = Micros(director.free.0 + delay.0).max(*last);
+    /// Sends a proxy all its rules as one message of so many lines; gives when that arrives.
+    fn push_rules(&mut self, director: usize, proxy: usize, lines: usize) -> Micros {
+        let settings = &self.scenario.settings;
+        let mean = settings.push_delay.secs().max(1e-6);
+        let delay = Exp::new(1.0 / mean).expect("the mean is above 0").sample(&mut self.rng);
+        let delay = Micros::from_secs(delay.min(settings.push_delay_max.secs()));
+        let sent = self.send_on_channel(director, lines);
+        // Messages to a proxy do not overtake each other.
+        let last = self.directors[director].last_arrival.entry(proxy).or_default();
+        *last = Micros(sent.0 + delay.0).max(*last);
         let arrives = *last;
-        let id = ProxyId(proxy as u32);
-        let known = &self.proxies[proxy];
-        let rule = |class: usize| {
-            let mut bound = director.mirror.bound.range((id, 0)..=(id, u64::MAX));
-            let table =
-                bound.find(|((_, mask), _)| *mask == 0 || mask >> class & 1 == 1).map(|(_, table)| table);
-            let Some(table) = table else { return known.rules[class].clone() };
-            let levels = director.mirror.tables.get(table).map(|table| &table.levels);
-            let level = levels.into_iter().flatten().find(|(mask, _)| **mask >> class & 1 == 1);
-            let weights = director.snapshots.get(table).cloned().unwrap_or_default();
-            RoutingRule {
-                weights,
-                level: level.map_or(1.0, |level| *level.1),
-                retry: known.rules[class].retry,
-            }
-        };
-        let rules = (0..self.plan.loads.len()).map(rule).collect();
-        let stream = known.stream;
-        self.at(arrives, Happens::Orders(proxy, stream, rules));
+        let rules = self.rules_of(director, proxy);
+        let stream = self.proxies[proxy].stream;
+        self.schedule_at(arrives, SimulationEvent::RulesReachProxy { proxy, stream, rules });
         arrives
     }
+
+    /// Queues a message on a director's channel; gives when it will have been sent.
+    fn send_on_channel(&mut self, director: usize, lines: usize) -> Micros {
+        let settings = &self.scenario.settings;
+        let node = &mut self.directors[director];
+        let cost = lines as f64 + settings.message_overhead;
+        let sending = Micros((cost / settings.lines_per_s * 1e6) as u64);
+        node.channel_free = Micros(node.channel_free.max(self.now).0 + sending.0);
+        let waiting_lines = node.channel_free.since(self.now) * settings.lines_per_s;
+        let margins = &mut self.result.margins;
+        margins.queue = margins.queue.max(waiting_lines / settings.queue_max);
+        self.result.messages += 1;
+        self.result.lines += lines as u64;
+        node.channel_free
+    }
+
+    /// A proxy's rules by class, as its director's tables have them now.
+    fn rules_of(&self, director: usize, proxy: usize) -> Vec<RoutingRule> {
+        let current = &self.proxies[proxy].rules;
+        let rule = |class| self.directors[director].rule(proxy, class, &current[class]);
+        (0..self.scenario.classes.len()).map(rule).collect()
+    }
+}
+
+fn marks(actions: &[Action]) -> Vec<u64> {
+    let marks = actions.iter().filter_map(|action| match action {
+        Action::Mark(_, number) => Some(*number),
+        _ => None,
+    });
+    marks.collect()
 }
--- a/crates/wingfold-lab/src/simulation/checks.rs
+++ b/crates/wingfold-lab/src/simulation/checks.rs
@@ -1,47 +1,73 @@
 //! Checks of the rules that only show in the proxies: drains that are kept, and proxies without a host.
 
-use super::World;
+use super::director::DirectorNode;
+use super::event::SimulationEvent;
+use super::Simulation;
 use crate::host::{Host, HostState};
-use crate::rules::part;
+use crate::proxy::Proxy;
+use crate::rules::share_of_limit;
 use wingfold_director::interface::*;
 
-impl World<'_> {
+/// How often proxies are checked for hosts.
+pub(super) const CHECK_PERIOD: Micros = Micros(250_000);
+/// A director that has just started is given this time before its proxies' sends count.
+const START_GRACE: Micros = Micros(1_000_000);
+
+impl Simulation<'_> {
+    /// Notes how late a proxy sends to a host that its director was told drains or is gone.
     pub(super) fn check_drain(&mut self, proxy: usize, host: usize) {
-        let known = &self.proxies[proxy];
-        let Some(director) = known.director.map(|at| &self.directors[at]) else { return };
-        let Some(told) = director.told.get(&self.hosts[host].id) else { return };
-        let since = (*told).max(known.connected_at).max(Micros(director.started.0 + 1_000_000));
-        let late = part(self.now.since(since), self.plan.settings.drain_grace);
-        self.played.margins.drain = self.played.margins.drain.max(late);
+        let proxy = &self.proxies[proxy];
+        let Some(director) = proxy.director.map(|director| &self.directors[director]) else { return };
+        let Some(told) = director.unavailable_since.get(&self.hosts[host].id) else { return };
+        let settled = Micros(director.started.0 + START_GRACE.0);
+        let since = (*told).max(proxy.connected_at).max(settled);
+        let late = share_of_limit(self.now.since(since), self.scenario.settings.drain_grace);
+        let margins = &mut self.result.margins;
+        margins.drain = margins.drain.max(late);
     }
 
-    pub(super) fn look(&mut self) {
-        let set = &self.plan.settings;
-        for proxy in &mut self.proxies {
-            let director = proxy.director.map(|at| &self.directors[at]);
-            for (class, load) in self.plan.loads.iter().enumerate() {
-                let may = |host: &Host| {
-                    let zone = &set.zones[host.zone];
-                    (load.class.zones.is_empty() || load.class.zones.contains(zone))
-                        && (load.class.kinds.is_empty() || load.class.kinds.contains(&host.kind))
-                        && (!load.class.own_zone || host.zone == proxy.zone)
-                };
-                let shown = |host: &Host| {
-                    let told = director.is_some_and(|director| director.told.contains_key(&host.id));
-                    let warm = host.started.is_none_or(|at| self.now.since(at) > set.cold.secs());
-                    host.state == HostState::Up
-                        && host.listed == Readiness::Ready
-                        && !told
-                        && warm
-                        && may(host)
-                };
-                let has = proxy.rules[class].weights.iter().any(|(_, weight)| *weight > 0.0);
-                let owed = director.is_some() && !has && self.hosts.iter().any(shown);
-                let since = &mut proxy.unrouted_since[class];
-                *since = owed.then(|| since.unwrap_or(self.now));
-                let long = since.map_or(0.0, |since| self.now.since(since));
-                self.played.margins.bare = self.played.margins.bare.max(part(long, set.bare));
+    /// Notes how long each proxy has had no host for a class although there is one, and checks again later.
+    pub(super) fn check_routes(&mut self) {
+        for proxy in 0..self.proxies.len() {
+            for class in 0..self.scenario.classes.len() {
+                self.check_route(proxy, class);
             }
         }
+        self.schedule_after(CHECK_PERIOD, SimulationEvent::CheckDue);
+    }
+
+    fn check_route(&mut self, proxy: usize, class: usize) {
+        let unrouted = self.lacks_host(&self.proxies[proxy], class);
+        let now = self.now;
+        let since = &mut self.proxies[proxy].unrouted_since[class];
+        *since = unrouted.then(|| since.unwrap_or(now));
+        let lasted = since.map_or(0.0, |since| now.since(since));
+        let margins = &mut self.result.margins;
+        margins.bare = margins.bare.max(share_of_limit(lasted, self.scenario.settings.bare));
+    }
+
+    /// Whether a connected proxy has no host for a class although its director knows one.
+    fn lacks_host(&self, proxy: &Proxy, class: usize) -> bool {
+        let Some(director) = proxy.director.map(|director| &self.directors[director]) else { return false };
+        let routed = proxy.rules[class].weights.iter().any(|(_, weight)| *weight > 0.0);
+        let usable =
+            |host: &Host| self.is_known_ready(director, host) && self.may_serve(host, class, proxy.zone);
+        !routed && self.hosts.iter().any(usable)
+    }
+
+    /// Whether a host is warm and ready, and its director was told nothing else.
+    fn is_known_ready(&self, director: &DirectorNode, host: &Host) -> bool {
+        let warm = host.started.is_none_or(|at| self.now.since(at) > self.scenario.settings.cold.secs());
+        let ready = host.state == HostState::Up && host.listed == Readiness::Ready;
+        warm && ready && !director.unavailable_since.contains_key(&host.id)
+    }
+
+    /// Whether a class allows a host for proxies of a zone.
+    fn may_serve(&self, host: &Host, class: usize, zone: usize) -> bool {
+        let class = &self.scenario.classes[class].class;
+        let host_zone = &self.scenario.settings.zones[host.zone];
+        (class.zones.is_empty() || class.zones.contains(host_zone))
+            && (class.kinds.is_empty() || class.kinds.contains(&host.kind))
+            && (!class.own_zone || host.zone == zone)
     }
 }
--- a/crates/wingfold-lab/src/simulation/director.rs
+++ b/crates/wingfold-lab/src/simulation/director.rs
@@ -1,99 +1,265 @@
-//! One director of the simulation: the real decision module, its capture, and what the site knows of it.
+//! A director of the simulation: the real decision module, its capture, and what the site knows of it.
 
-use super::World;
-use crate::proxy::HostWeights;
+use super::Simulation;
+use crate::proxy::{HostWeights, RoutingRule};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::path::Path;
 use wingfold_archive::{direct, Disk, Folder};
 use wingfold_capture::mirror::Mirror;
 use wingfold_capture::{Head, Limits, Queue, Tap};
 use wingfold_director::interface::*;
 use wingfold_director::Director;
 
-pub(super) struct Controller {
+/// A director.
+pub(super) struct DirectorNode {
+    /// The decision module; `None` while the director is down.
     pub(super) module: Option<Director>,
-    pub(super) tap: Option<Tap<Box<dyn Queue>>>,
+    tap: Option<Tap<Box<dyn Queue>>>,
+    /// Counts its starts and stops: what was sent to an earlier incarnation does not arrive.
     pub(super) incarnation: u32,
     pub(super) started: Micros,
+    pub(super) zone: usize,
+    /// It stands still, and events wait in its backlog.
     pub(super) stalled: bool,
-    pub(super) waiting: Vec<Event>,
+    pub(super) backlog: Vec<Event>,
+    /// Its tables as its actions make them.
     pub(super) mirror: Mirror,
+    /// Each table's weights as proxies are sent them.
     pub(super) snapshots: BTreeMap<TableId, HostWeights>,
-    pub(super) users: BTreeMap<TableId, BTreeSet<usize>>,
-    /// When the channel will have sent all that waits, and when each proxy's last message arrives.
-    pub(super) free: Micros,
-    pub(super) arrives: BTreeMap<usize, Micros>,
-    /// Hosts that it was told drain or are gone.
-    pub(super) told: BTreeMap<HostId, Micros>,
-    pub(super) zone: usize,
+    /// The proxies that are bound to each table.
+    pub(super) table_users: BTreeMap<TableId, BTreeSet<usize>>,
+    /// When the channel to its proxies will have sent all that waits.
+    pub(super) channel_free: Micros,
+    /// When the last message to each proxy arrives.
+    pub(super) last_arrival: BTreeMap<usize, Micros>,
+    /// Hosts that it was told drain or are gone, and since when.
+    pub(super) unavailable_since: BTreeMap<HostId, Micros>,
 }
 
-impl World<'_> {
-    pub(super) fn start_director(&mut self, at: usize) -> io::Result<()> {
-        let settings = Settings { me: at as u32, ..self.plan.settings.clone() };
-        let incarnation = self.directors[at].incarnation + 1;
-        let seed = self.seed ^ (at as u64) << 32 ^ u64::from(incarnation) << 48;
-        let tap = match self.captures {
-            None => None,
-            Some(root) => {
-                let name = format!("director-{at}");
-                let head = Head {
-                    build: format!("wingfold {}", env!("CARGO_PKG_VERSION")),
-                    name: name.clone(),
-                    run: self.now,
-                    segment: 0,
-                    seed,
-                    settings: settings.clone(),
-                    classes: self.plan.loads.iter().map(|load| load.name.clone()).collect(),
-                };
-                let mut folder = Folder::new(root, &name);
-                folder.open()?;
-                let queue: Box<dyn Queue> = Box::new(direct(folder, head, Limits::default())?);
-                Some(Tap::new(queue))
+impl DirectorNode {
+    /// A director that was not started yet.
+    pub(super) fn new(zone: usize) -> DirectorNode {
+        DirectorNode {
+            module: None,
+            tap: None,
+            incarnation: 0,
+            started: Micros(0),
+            zone,
+            stalled: false,
+            backlog: Vec::new(),
+            mirror: Mirror::default(),
+            snapshots: BTreeMap::new(),
+            table_users: BTreeMap::new(),
+            channel_free: Micros(0),
+            last_arrival: BTreeMap::new(),
+            unavailable_since: BTreeMap::new(),
+        }
+    }
+
+    /// Whether proxies can connect to it.
+    pub(super) fn accepts_streams(&self) -> bool {
+        self.module.is_some() && !self.stalled
+    }
+
+    /// A digest of its tables; 0 while it is down.
+    pub(super) fn digest(&self) -> u64 {
+        self.module.as_ref().map_or(0, Director::digest)
+    }
+
+    /// Writes the end of its capture, if it has one.
+    pub(super) fn end_capture(&mut self) -> io::Result<()> {
+        match &mut self.tap {
+            Some(tap) => tap.queue().end(),
+            None => Ok(()),
+        }
+    }
+
+    /// Forgets all that an earlier incarnation knew.
+    fn restart(&mut self, module: Director, tap: Option<Tap<Box<dyn Queue>>>, now: Micros) {
+        self.module = Some(module);
+        self.tap = tap;
+        self.incarnation += 1;
+        self.started = now;
+        self.mirror = Mirror::default();
+        self.channel_free = now;
+        self.snapshots.clear();
+        self.table_users.clear();
+        self.unavailable_since.clear();
+        self.backlog.clear();
+        self.last_arrival.clear();
+    }
+
+    /// The lines and levels of a table.
+    pub(super) fn table_lines(&self, table: TableId) -> usize {
+        self.mirror.tables.get(&table).map_or(0, |table| table.lines.len() + table.levels.len())
+    }
+
+    /// Notes a proxy as a user of just the tables that it is bound to.
+    pub(super) fn refresh_table_users(&mut self, proxy: usize) {
+        self.forget_table_user(proxy);
+        for ((bound, _), table) in &self.mirror.bound {
+            if bound.0 as usize == proxy {
+                self.table_users.entry(*table).or_default().insert(proxy);
             }
+        }
+    }
+
+    /// A proxy uses no table any more.
+    fn forget_table_user(&mut self, proxy: usize) {
+        for users in self.table_users.values_mut() {
+            users.remove(&proxy);
+        }
+    }
+
+    /// Forgets a proxy whose stream broke.
+    pub(super) fn forget_proxy(&mut self, proxy: usize) {
+        self.forget_table_user(proxy);
+        self.mirror.bound.retain(|(bound, _), _| bound.0 as usize != proxy);
+        self.last_arrival.remove(&proxy);
+    }
+
+    /// A proxy's rule for a class by the tables; `current` stays where the proxy is bound to none.
+    pub(super) fn rule(&self, proxy: usize, class: usize, current: &RoutingRule) -> RoutingRule {
+        let id = ProxyId(proxy as u32);
+        let mut bound = self.mirror.bound.range((id, 0)..=(id, u64::MAX));
+        let Some((_, table)) = bound.find(|((_, mask), _)| *mask == 0 || covers(*mask, class)) else {
+            return current.clone();
         };
-        let director = &mut self.directors[at];
-        director.module = Some(Director::new(settings, seed));
-        (director.tap, director.incarnation, director.started) = (tap, incarnation, self.now);
-        (director.mirror, director.free) = (Mirror::default(), self.now);
-        director.snapshots.clear();
-        director.users.clear();
-        director.told.clear();
-        director.waiting.clear();
-        director.arrives.clear();
-        let known = Event::List(ListKind::Remembered, self.first.clone());
-        self.tell(at, vec![known])
-    }
-
-    pub(super) fn tell(&mut self, at: usize, events: Vec<Event>) -> io::Result<()> {
-        let (now, advice) = (self.now, self.plan.settings.gone_is_advice);
-        let director = &mut self.directors[at];
-        if director.stalled {
-            director.waiting.extend(events);
-            return Ok(());
+        let levels = self.mirror.tables.get(table).map(|table| &table.levels);
+        let level = levels.into_iter().flatten().find(|(mask, _)| covers(**mask, class));
+        RoutingRule {
+            weights: self.snapshots.get(table).cloned().unwrap_or_default(),
+            level: level.map_or(1.0, |(_, level)| *level),
+            retry: current.retry,
         }
-        let Some(module) = &mut director.module else { return Ok(()) };
-        for event in &events {
+    }
+
+    /// Notes which hosts a list calls unavailable; `gone_is_advice`: hosts that are gone may still be used.
+    fn note_list(&mut self, now: Micros, events: &[Event], gone_is_advice: bool) {
+        for event in events {
             let Event::List(kind, entries) = event else { continue };
-            for entry in entries.iter().filter(|_| *kind != ListKind::Remembered) {
+            if *kind == ListKind::Remembered {
+                continue;
+            }
+            for entry in entries {
                 match entry.readiness {
-                    Readiness::Ready => drop(director.told.remove(&entry.host)),
-                    Readiness::Gone if advice => {}
-                    _ => drop(director.told.entry(entry.host.clone()).or_insert(now)),
+                    Readiness::Ready => drop(self.unavailable_since.remove(&entry.host)),
+                    Readiness::Gone if gone_is_advice => {}
+                    _ => drop(self.unavailable_since.entry(entry.host.clone()).or_insert(now)),
                 }
             }
         }
+    }
+}
+
+/// Whether a mask of classes has a class.
+fn covers(mask: u64, class: usize) -> bool {
+    mask >> class & 1 == 1
+}
+
+impl Simulation<'_> {
+    /// Starts a director from the initial list of hosts.
+    pub(super) fn start_director(&mut self, director: usize) -> io::Result<()> {
+        let settings = Settings { me: director as u32, ..self.scenario.settings.clone() };
+        let incarnation = self.directors[director].incarnation + 1;
+        let seed = self.seed ^ (director as u64) << 32 ^ u64::from(incarnation) << 48;
+        let tap = match self.captures {
+            Some(root) => Some(self.open_capture(root, director, seed, &settings)?),
+            None => None,
+        };
+        let now = self.now;
+        self.directors[director].restart(Director::new(settings, seed), tap, now);
+        let list = Event::List(ListKind::Remembered, self.initial_list.clone());
+        self.deliver(director, vec![list])
+    }
+
+    fn open_capture(
+        &self,
+        root: &Path,
+        director: usize,
+        seed: u64,
+        settings: &Settings,
+    ) -> io::Result<Tap<Box<dyn Queue>>> {
+        let name = format!("director-{director}");
+        let head = Head {
+            build: format!("wingfold {}", env!("CARGO_PKG_VERSION")),
+            name: name.clone(),
+            run: self.now,
+            segment: 0,
+            seed,
+            settings: settings.clone(),
+            classes: self.scenario.classes.iter().map(|class| class.name.clone()).collect(),
+        };
+        let mut folder = Folder::new(root, &name);
+        folder.open()?;
+        let queue: Box<dyn Queue> = Box::new(direct(folder, head, Limits::default())?);
+        Ok(Tap::new(queue))
+    }
+
+    /// A director dies: its proxies lose their streams.
+    pub(super) fn stop_director(&mut self, director: usize) -> io::Result<()> {
+        let node = &mut self.directors[director];
+        node.end_capture()?;
+        node.module = None;
+        node.tap = None;
+        node.incarnation += 1;
+        for proxy in 0..self.proxies.len() {
+            if self.proxies[proxy].director == Some(director) {
+                self.disconnect(proxy);
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets a director stand still, or take all that came meanwhile.
+    pub(super) fn stall_director(&mut self, director: usize, stalled: bool) -> io::Result<()> {
+        self.directors[director].stalled = stalled;
+        if stalled {
+            return Ok(());
+        }
+        let events = std::mem::take(&mut self.directors[director].backlog);
+        self.deliver(director, events)
+    }
+
+    /// Delivers events that were sent to one incarnation of a director.
+    pub(super) fn deliver_to(
+        &mut self,
+        director: usize,
+        incarnation: u32,
+        events: Vec<Event>,
+    ) -> io::Result<()> {
+        if self.directors[director].incarnation == incarnation {
+            self.deliver(director, events)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Calls the decision module with events and carries out its actions.
+    fn deliver(&mut self, director: usize, events: Vec<Event>) -> io::Result<()> {
+        let now = self.now;
+        let node = &mut self.directors[director];
+        if node.stalled {
+            node.backlog.extend(events);
+            return Ok(());
+        }
+        if node.module.is_none() {
+            return Ok(());
+        }
+        node.note_list(now, &events, self.scenario.settings.gone_is_advice);
+        let Some(module) = &mut node.module else { return Ok(()) };
         let mut actions = std::mem::take(&mut self.actions);
         actions.clear();
-        if let Some(tap) = &mut director.tap {
+        if let Some(tap) = &mut node.tap {
             tap.before(now, module);
         }
         module.handle(now, &events, &mut actions);
-        if let Some(tap) = &mut director.tap {
+        if let Some(tap) = &mut node.tap {
             tap.after(now, &events, &actions, module.digest());
         }
-        self.onlooker.called(at, now, &events, &actions, module);
-        self.carry_out(at, &actions);
+        self.observer.director_called(director, now, &events, &actions, module);
+        self.apply_actions(director, &actions);
         self.actions = actions;
         Ok(())
     }
--- a/crates/wingfold-lab/src/simulation/discovery.rs
+++ b/crates/wingfold-lab/src/simulation/discovery.rs
@@ -1,36 +1,56 @@
 //! Discovery: the list of hosts and its changes, told to each director in its own time.
 
-use super::event::Happens;
-use super::World;
+use super::Simulation;
 use crate::host::Host;
 use crate::scenario::Scenario;
 use wingfold_director::interface::*;
 
-impl World<'_> {
+/// How soon directors learn that discovery is down.
+const FAILURE_DELAY: Micros = Micros(5000);
+
+impl Simulation<'_> {
+    /// Tells directors what is now listed of a host, unless discovery is down.
     pub(super) fn announce(&mut self, host: usize) {
-        if self.silent_list {
-            return;
+        if !self.disruptions.discovery_down {
+            self.announce_entry(&entry(&self.hosts[host], self.scenario));
         }
-        let told = entry(&self.hosts[host], self.plan);
-        self.spread(told);
     }
 
     /// Tells every director a change of the list, each in its own time.
-    pub(super) fn spread(&mut self, told: Entry) {
+    pub(super) fn announce_entry(&mut self, entry: &Entry) {
         for director in 0..self.directors.len() {
-            let lag = self.between(self.plan.lag, Micros(self.plan.lag.0 * 2));
-            let incarnation = self.directors[director].incarnation;
-            let events = vec![Event::List(ListKind::Changes, vec![told.clone()])];
-            self.after(lag, Happens::Deliver(director, incarnation, events));
+            let least = self.scenario.discovery_delay;
+            let delay = self.random_time(least, Micros(least.0 * 2));
+            self.send_to_director(delay, director, vec![Event::List(ListKind::Changes, vec![entry.clone()])]);
+        }
+    }
+
+    /// Discovery goes down or comes back; directors hear only of the former.
+    pub(super) fn change_discovery(&mut self, down: bool) {
+        self.disruptions.discovery_down = down;
+        if down {
+            for director in 0..self.directors.len() {
+                self.send_to_director(FAILURE_DELAY, director, vec![Event::ListFailed]);
+            }
+        }
+    }
+
+    /// The answer to a director that asks for the whole list.
+    pub(super) fn list_event(&self) -> Event {
+        if self.disruptions.discovery_down {
+            return Event::ListFailed;
         }
+        let entries = self.hosts.iter().map(|host| entry(host, self.scenario));
+        Event::List(ListKind::Whole, entries.collect())
     }
 }
 
-pub(super) fn entry(host: &Host, plan: &Scenario) -> Entry {
+/// What is listed of a host.
+pub(super) fn entry(host: &Host, scenario: &Scenario) -> Entry {
     Entry {
         host: host.id.clone(),
         kind: host.kind.clone(),
-        zone: plan.settings.zones[host.zone].clone(),
+        zone: scenario.settings.zones[host.zone].clone(),
         readiness: host.listed,
         weight: host.cores as f64,
         started: host.started,
--- a/crates/wingfold-lab/src/simulation/mod.rs
+++ b/crates/wingfold-lab/src/simulation/mod.rs
@@ -1,6 +1,7 @@
-//! Plays a scenario: one queue of events in virtual time. The decision module is the real one; all else stands in.
+//! Simulates a scenario in virtual time. The decision module is the real one; all else is emulated.
 
 mod actions;
+mod attempts;
 mod checks;
 mod director;
 mod discovery;
@@ -13,27 +14,27 @@
 mod setup;
 mod streams;
 
+use crate::attempt::RequestId;
 use crate::host::Host;
 use crate::proxy::Proxy;
-use crate::results::Played;
+use crate::results::RunResult;
 use crate::scenario::Scenario;
-use director::Controller;
-use discovery::entry;
-use event::{Due, Happens};
+use director::DirectorNode;
+use event::{EventQueue, SimulationEvent};
+use faults::Disruptions;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use requests::Request;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
 use wingfold_director::interface::*;
 use wingfold_director::Director;
 
-/// Looks on at every call of every director.
-pub trait Onlooker {
-    /// A director was told this and has answered.
-    fn called(
+/// Observes every call of every director.
+pub trait Observer {
+    /// A director was told of events and has answered with actions.
+    fn director_called(
         &mut self,
         director: usize,
         now: Micros,
@@ -43,137 +44,122 @@
     );
 }
 
-impl Onlooker for () {
-    fn called(&mut self, _: usize, _: Micros, _: &[Event], _: &[Action], _: &Director) {}
+/// Observes nothing.
+impl Observer for () {
+    fn director_called(&mut self, _: usize, _: Micros, _: &[Event], _: &[Action], _: &Director) {}
 }
 
-/// Plays a scenario with a seed; where a folder is named, each director's calls are captured below it.
-pub fn play(plan: &Scenario, seed: u64, captures: Option<&Path>) -> io::Result<Played> {
-    play_before(plan, seed, captures, &mut ())
+/// Simulates a scenario with a seed; where a folder is named, each director's calls are captured below it.
+pub fn simulate(scenario: &Scenario, seed: u64, captures: Option<&Path>) -> io::Result<RunResult> {
+    simulate_observed(scenario, seed, captures, &mut ())
 }
 
-/// The same before an onlooker.
-pub fn play_before(
-    plan: &Scenario,
+/// The same with an observer.
+pub fn simulate_observed(
+    scenario: &Scenario,
     seed: u64,
     captures: Option<&Path>,
-    onlooker: &mut dyn Onlooker,
-) -> io::Result<Played> {
-    let mut world = World::new(plan, seed, captures, onlooker);
-    world.begin()?;
-    while let Some(Reverse(Due(at, _, what))) = world.due.pop() {
-        if at > plan.length {
-            break;
-        }
-        world.now = at;
-        world.happen(what)?;
-    }
-    for director in &mut world.directors {
-        if let Some(tap) = &mut director.tap {
-            tap.queue().end()?;
-        }
-    }
-    world.played.digests =
-        world.directors.iter().map(|d| d.module.as_ref().map_or(0, Director::digest)).collect();
-    Ok(world.played)
+    observer: &mut dyn Observer,
+) -> io::Result<RunResult> {
+    Simulation::new(scenario, seed, captures, observer).run()
 }
 
-struct World<'a> {
-    plan: &'a Scenario,
+/// The state of a simulation.
+struct Simulation<'a> {
+    scenario: &'a Scenario,
     seed: u64,
     captures: Option<&'a Path>,
-    onlooker: &'a mut dyn Onlooker,
+    observer: &'a mut dyn Observer,
     now: Micros,
-    due: BinaryHeap<Reverse<Due>>,
-    number: u64,
-    arrivals: ChaCha8Rng,
-    chance: ChaCha8Rng,
+    events: EventQueue,
+    /// Draws the arrivals of requests.
+    arrival_rng: ChaCha8Rng,
+    /// Draws all else.
+    rng: ChaCha8Rng,
     hosts: Vec<Host>,
-    names: BTreeMap<HostId, usize>,
-    busy: Vec<Option<f64>>,
-    reported: Micros,
+    host_index: BTreeMap<HostId, usize>,
+    /// The list of hosts that directors start from.
+    initial_list: Vec<Entry>,
+    /// The busy share that each host last reported.
+    utilization: Vec<Option<f64>>,
+    last_report: Micros,
     proxies: Vec<Proxy>,
-    directors: Vec<Controller>,
-    requests: BTreeMap<u64, Request>,
-    struck: Vec<Vec<usize>>,
-    cut: BTreeSet<usize>,
-    burst: f64,
-    /// Traffic by zone, and zones whose collector is dead.
-    traffic: Vec<f64>,
-    mute: BTreeSet<usize>,
-    late: Micros,
-    silent_list: bool,
-    first: Vec<Entry>,
-    works: Vec<f64>,
+    directors: Vec<DirectorNode>,
+    requests: BTreeMap<RequestId, Request>,
+    /// Requests that were admitted so far.
+    admitted: u64,
+    /// The mean work of a request, by class.
+    mean_work_ms: Vec<f64>,
+    /// The hosts that each fault affects.
+    fault_targets: Vec<Vec<usize>>,
+    disruptions: Disruptions,
+    /// Kept from call to call for its memory.
     actions: Vec<Action>,
-    played: Played,
+    result: RunResult,
 }
 
-impl World<'_> {
-    fn at(&mut self, at: Micros, what: Happens) {
-        self.number += 1;
-        self.due.push(Reverse(Due(at, self.number, what)));
+impl Simulation<'_> {
+    fn run(mut self) -> io::Result<RunResult> {
+        self.start()?;
+        while let Some((at, event)) = self.events.pop() {
+            if at > self.scenario.duration {
+                break;
+            }
+            self.now = at;
+            self.handle(event)?;
+        }
+        for director in &mut self.directors {
+            director.end_capture()?;
+        }
+        self.result.digests = self.directors.iter().map(DirectorNode::digest).collect();
+        Ok(self.result)
+    }
+
+    fn schedule_at(&mut self, at: Micros, event: SimulationEvent) {
+        self.events.push(at, event);
     }
 
-    fn after(&mut self, time: Micros, what: Happens) {
-        self.at(Micros(self.now.0 + time.0), what);
+    fn schedule_after(&mut self, delay: Micros, event: SimulationEvent) {
+        self.schedule_at(Micros(self.now.0 + delay.0), event);
     }
 
-    fn between(&mut self, least: Micros, most: Micros) -> Micros {
-        Micros(if most > least { self.chance.random_range(least.0..=most.0) } else { least.0 })
+    /// Draws a time from a range; draws nothing where the range is empty.
+    fn random_time(&mut self, least: Micros, most: Micros) -> Micros {
+        if most > least {
+            Micros(self.rng.random_range(least.0..=most.0))
+        } else {
+            least
+        }
     }
 
-    fn happen(&mut self, what: Happens) -> io::Result<()> {
-        match what {
-            Happens::Arrive(proxy, epoch) => {
-                if self.proxies[proxy].arrival_epoch == epoch {
-                    self.arrive(proxy);
-                }
-            }
-            Happens::Reach(attempt, host) => self.reach(attempt, host),
-            Happens::Done(host, attempt, incarnation) => self.done(host, attempt, incarnation),
-            Happens::Answer(attempt, end) => self.answer(attempt, end),
-            Happens::Report => self.report(),
-            Happens::Deliver(at, incarnation, events) => {
-                if self.directors[at].incarnation == incarnation {
-                    self.tell(at, events)?;
-                }
-            }
-            Happens::Timer(at, incarnation, token) => {
-                if self.directors[at].incarnation == incarnation {
-                    self.tell(at, vec![Event::Timer(token)])?;
-                }
+    fn handle(&mut self, event: SimulationEvent) -> io::Result<()> {
+        match event {
+            SimulationEvent::RequestArrives { proxy, epoch } => self.request_arrives(proxy, epoch),
+            SimulationEvent::AttemptReachesHost { attempt, host } => self.attempt_reaches(attempt, host),
+            SimulationEvent::AttemptFinishes { attempt, host, incarnation } => {
+                self.attempt_finishes(attempt, host, incarnation);
             }
-            Happens::Orders(proxy, stream, rules) => {
-                if self.proxies[proxy].stream == stream {
-                    self.proxies[proxy].rules = rules;
-                }
+            SimulationEvent::AttemptEnds { attempt, outcome } => self.attempt_ends(attempt, outcome),
+            SimulationEvent::ReportsDue => self.send_reports(),
+            SimulationEvent::DirectorReceives { director, incarnation, events } => {
+                self.deliver_to(director, incarnation, events)?;
             }
-            Happens::Join(proxy) => self.join(proxy),
-            Happens::Leave(proxy, stream) => {
-                if self.proxies[proxy].stream == stream {
-                    self.leave(proxy);
-                }
+            SimulationEvent::TimerFires { director, incarnation, token } => {
+                self.deliver_to(director, incarnation, vec![Event::Timer(token)])?;
             }
-            Happens::Look => {
-                self.look();
-                self.after(Micros(250_000), Happens::Look);
+            SimulationEvent::ListFetched { director, incarnation } => {
+                let list = self.list_event();
+                self.deliver_to(director, incarnation, vec![list])?;
             }
-            Happens::Chatter(at) => self.chatter(at),
-            Happens::Fault(at, begins) => self.fault(at, begins)?,
-            Happens::Stage(hosts, stage) => hosts.into_iter().for_each(|host| self.stage(host, stage)),
-            Happens::List(at, incarnation) => {
-                if self.directors[at].incarnation == incarnation {
-                    let event = match self.silent_list {
-                        true => Event::ListFailed,
-                        false => Event::List(
-                            ListKind::Whole,
-                            self.hosts.iter().map(|host| entry(host, self.plan)).collect(),
-                        ),
-                    };
-                    self.tell(at, vec![event])?;
-                }
+            SimulationEvent::PeerMessageDue { director } => self.send_random_peer_message(director),
+            SimulationEvent::RulesReachProxy { proxy, stream, rules } => {
+                self.rules_reach(proxy, stream, rules);
             }
+            SimulationEvent::ProxyConnects { proxy } => self.connect(proxy),
+            SimulationEvent::StreamBreaks { proxy, stream } => self.stream_breaks(proxy, stream),
+            SimulationEvent::CheckDue => self.check_routes(),
+            SimulationEvent::FaultChanges { fault, active } => self.change_fault(fault, active)?,
+            SimulationEvent::HostsChange { hosts, transition } => self.change_hosts(&hosts, transition),
         }
         Ok(())
     }
--- a/crates/wingfold-lab/src/simulation/network.rs
+++ b/crates/wingfold-lab/src/simulation/network.rs
@@ -1,15 +1,21 @@
 //! The network between zones: how long a message is under way, and which zones are cut off from others.
 
-use super::World;
+use super::Simulation;
 use wingfold_director::interface::Micros;
 
-impl World<'_> {
-    pub(super) fn way(&mut self, from: usize, to: usize) -> Micros {
-        let usual = if from == to { self.plan.near } else { self.plan.far };
-        self.between(usual, Micros(usual.0 * 3 / 2))
+impl Simulation<'_> {
+    /// Draws how long a message is under way from one zone to another.
+    pub(super) fn latency(&mut self, from: usize, to: usize) -> Micros {
+        let usual = match from == to {
+            true => self.scenario.same_zone_latency,
+            false => self.scenario.cross_zone_latency,
+        };
+        self.random_time(usual, Micros(usual.0 * 3 / 2))
     }
 
-    pub(super) fn parted(&self, from: usize, to: usize) -> bool {
-        from != to && (self.cut.contains(&from) || self.cut.contains(&to))
+    /// Whether a partition keeps messages from one zone to another.
+    pub(super) fn partitioned(&self, from: usize, to: usize) -> bool {
+        let cut = &self.disruptions.partitioned_zones;
+        from != to && (cut.contains(&from) || cut.contains(&to))
     }
 }
--- a/crates/wingfold-lab/src/simulation/peers.rs
+++ b/crates/wingfold-lab/src/simulation/peers.rs
@@ -1,29 +1,39 @@
 //! Messages between directors; some are lost on the way.
 
-use super::event::Happens;
-use super::World;
+use super::event::SimulationEvent;
+use super::Simulation;
 use rand::Rng;
 use rand_distr::{Distribution, Exp};
 use wingfold_director::interface::*;
 
-impl World<'_> {
-    pub(super) fn chatter(&mut self, from: usize) {
-        let wait = Exp::new(self.plan.peers.0).expect("the rate is above 0").sample(&mut self.chance);
-        self.after(Micros::from_secs(wait.max(1e-3)), Happens::Chatter(from));
-        let length = self.chance.random_range(1..=32);
-        let word: Vec<u8> = (0..length).map(|_| self.chance.random()).collect();
-        self.word(from, None, word);
+/// The longest made-up message, in bytes.
+const MAX_RANDOM_BYTES: u32 = 32;
+/// The shortest time between two made-up messages, in seconds.
+const MIN_INTERVAL_S: f64 = 1e-3;
+
+impl Simulation<'_> {
+    /// A director sends its peers a made-up message, and will send another.
+    pub(super) fn send_random_peer_message(&mut self, from: usize) {
+        let rate = self.scenario.peers.messages_per_s;
+        let wait = Exp::new(rate).expect("the rate is above 0").sample(&mut self.rng);
+        let next = Micros::from_secs(wait.max(MIN_INTERVAL_S));
+        self.schedule_after(next, SimulationEvent::PeerMessageDue { director: from });
+        let length = self.rng.random_range(1..=MAX_RANDOM_BYTES);
+        let message: Vec<u8> = (0..length).map(|_| self.rng.random()).collect();
+        self.send_peer_message(from, None, &message);
     }
 
-    pub(super) fn word(&mut self, from: usize, to: Option<u32>, word: Vec<u8>) {
-        for at in (0..self.directors.len()).filter(|at| *at != from) {
-            let (one, other) = (self.directors[from].zone, self.directors[at].zone);
-            let lost = self.chance.random::<f64>() < self.plan.peers.1;
-            if to.is_some_and(|to| to as usize != at) || lost || self.parted(one, other) {
+    /// Sends a message to one peer, or to all.
+    pub(super) fn send_peer_message(&mut self, from: usize, to: Option<u32>, message: &[u8]) {
+        for peer in (0..self.directors.len()).filter(|peer| *peer != from) {
+            let (from_zone, to_zone) = (self.directors[from].zone, self.directors[peer].zone);
+            let lost = self.rng.random::<f64>() < self.scenario.peers.loss;
+            let addressed = to.is_none_or(|to| to as usize == peer);
+            if lost || !addressed || self.partitioned(from_zone, to_zone) {
                 continue;
             }
-            let (way, incarnation) = (self.way(one, other), self.directors[at].incarnation);
-            self.after(way, Happens::Deliver(at, incarnation, vec![Event::Peer(from as u32, word.clone())]));
+            let latency = self.latency(from_zone, to_zone);
+            self.send_to_director(latency, peer, vec![Event::Peer(from as u32, message.to_vec())]);
         }
     }
 }
--- a/crates/wingfold-lab/src/simulation/reports.rs
+++ b/crates/wingfold-lab/src/simulation/reports.rs
@@ -1,7 +1,7 @@
 //! Load reports: what proxies counted, summed by zone and sent to each director, late and out of order.
 
-use super::event::Happens;
-use super::World;
+use super::event::SimulationEvent;
+use super::Simulation;
 use crate::host::HostState;
 use crate::proxy::{AttemptStats, ClassUsage};
 use rand::seq::SliceRandom;
@@ -9,78 +9,92 @@
 use std::collections::BTreeMap;
 use wingfold_director::interface::*;
 
-impl World<'_> {
-    pub(super) fn report(&mut self) {
-        let period = self.plan.settings.report_period;
-        self.after(period, Happens::Report);
-        let since = std::mem::replace(&mut self.reported, self.now);
-        for (host, busy) in self.hosts.iter_mut().zip(&mut self.busy) {
-            if host.state == HostState::Up {
-                *busy = Some(host.report_utilization(self.now, since));
-            }
-        }
+impl Simulation<'_> {
+    /// Every zone reports to every director.
+    pub(super) fn send_reports(&mut self) {
+        let period = self.scenario.settings.report_period;
+        self.schedule_after(period, SimulationEvent::ReportsDue);
+        self.measure_utilization();
         for director in 0..self.directors.len() {
-            for zone in 0..self.plan.settings.zones.len() {
-                let mut events = self.sums(director, zone, period);
-                if self.mute.contains(&zone) {
-                    events.retain(|event| !matches!(event, Event::Heard(..)));
+            for zone in 0..self.scenario.settings.zones.len() {
+                let mut reports = self.collect_reports(director, zone, period);
+                if self.disruptions.silent_collectors.contains(&zone) {
+                    reports.retain(|report| !matches!(report, Event::Heard(..)));
                 }
-                if events.is_empty() || self.parted(zone, self.directors[director].zone) {
+                if reports.is_empty() || self.partitioned(zone, self.directors[director].zone) {
                     continue;
                 }
-                // Reports travel one by one: some overtake others.
-                let (mut usual, mut later) = (Vec::new(), Vec::new());
-                for event in events {
-                    let late = self.chance.random::<f64>() < self.plan.disorder;
-                    if late {
-                        later.push(event)
-                    } else {
-                        usual.push(event)
-                    }
-                }
-                later.shuffle(&mut self.chance);
-                let incarnation = self.directors[director].incarnation;
-                let base = Micros(self.plan.late.0 + self.late.0);
-                let first = self.between(base, Micros(base.0 + self.plan.late.0));
-                let second = self.between(first, Micros(first.0 + period.0 * 3 / 2));
-                self.after(first, Happens::Deliver(director, incarnation, usual));
-                if !later.is_empty() {
-                    self.after(second, Happens::Deliver(director, incarnation, later));
-                }
+                self.send_out_of_order(director, reports);
+            }
+        }
+    }
+
+    fn measure_utilization(&mut self) {
+        let since = std::mem::replace(&mut self.last_report, self.now);
+        for (host, utilization) in self.hosts.iter_mut().zip(&mut self.utilization) {
+            if host.state == HostState::Up {
+                *utilization = Some(host.report_utilization(self.now, since));
             }
         }
     }
 
-    fn sums(&mut self, director: usize, zone: usize, over: Micros) -> Vec<Event> {
-        let name = self.plan.settings.zones[zone].clone();
-        let (mut met, mut events): (BTreeMap<usize, AttemptStats>, _) = (BTreeMap::new(), Vec::new());
-        let told = self.plan.settings.load_reports != LoadReports::Never;
-        for (at, proxy) in self.proxies.iter_mut().enumerate() {
+    /// Sends reports one by one: some overtake others.
+    fn send_out_of_order(&mut self, director: usize, reports: Vec<Event>) {
+        let (mut usual, mut delayed) = (Vec::new(), Vec::new());
+        for report in reports {
+            let overtaken = self.rng.random::<f64>() < self.scenario.reorder_share;
+            let group = if overtaken { &mut delayed } else { &mut usual };
+            group.push(report);
+        }
+        delayed.shuffle(&mut self.rng);
+        let delay = self.scenario.report_delay;
+        let least = Micros(delay.0 + self.disruptions.report_delay.0);
+        let first = self.random_time(least, Micros(least.0 + delay.0));
+        let period = self.scenario.settings.report_period;
+        let second = self.random_time(first, Micros(first.0 + period.0 * 3 / 2));
+        self.send_to_director(first, director, usual);
+        if !delayed.is_empty() {
+            self.send_to_director(second, director, delayed);
+        }
+    }
+
+    /// Schedules events for the incarnation that a director has now.
+    pub(super) fn send_to_director(&mut self, delay: Micros, director: usize, events: Vec<Event>) {
+        let incarnation = self.directors[director].incarnation;
+        self.schedule_after(delay, SimulationEvent::DirectorReceives { director, incarnation, events });
+    }
+
+    /// Takes what a zone's proxies that are connected to a director have counted.
+    fn collect_reports(&mut self, director: usize, zone: usize, over: Micros) -> Vec<Event> {
+        let mut host_stats: BTreeMap<usize, AttemptStats> = BTreeMap::new();
+        let mut reports = Vec::new();
+        for (number, proxy) in self.proxies.iter_mut().enumerate() {
             if proxy.zone != zone || proxy.director != Some(director) {
                 continue;
             }
-            for (host, one) in std::mem::take(&mut proxy.host_stats) {
-                met.entry(host).or_default().add(&one);
+            for (host, stats) in std::mem::take(&mut proxy.host_stats) {
+                host_stats.entry(host).or_default().add(&stats);
             }
             for (class, usage) in proxy.class_usage.iter_mut().enumerate() {
                 let ClassUsage { total, lost } = std::mem::take(usage);
                 if total > 0 {
                     let sums = Sums { total, lost, over };
-                    events.push(Event::Usage(ProxyId(at as u32), ClassId(class), sums));
+                    reports.push(Event::Usage(ProxyId(number as u32), ClassId(class), sums));
                 }
             }
         }
-        events.extend(met.into_iter().map(|(host, met)| {
-            let sums = Sums { total: met.attempts, lost: met.failures, over };
-            let load = Load { busy: self.busy[host].filter(|_| told), ..Load::default() };
-            Event::Heard(
-                name.clone(),
-                self.hosts[host].id.clone(),
-                sums,
-                Micros((met.mean_latency_ms() * 1e3) as u64),
-                load,
-            )
-        }));
-        events
+        let host_reports =
+            host_stats.into_iter().map(|(host, stats)| self.host_report(zone, host, &stats, over));
+        reports.extend(host_reports);
+        reports
+    }
+
+    fn host_report(&self, zone: usize, host: usize, stats: &AttemptStats, over: Micros) -> Event {
+        let zone = self.scenario.settings.zones[zone].clone();
+        let sums = Sums { total: stats.attempts, lost: stats.failures, over };
+        let latency = Micros((stats.mean_latency_ms() * 1e3) as u64);
+        let reported = self.scenario.settings.load_reports != LoadReports::Never;
+        let load = Load { busy: self.utilization[host].filter(|_| reported), ..Load::default() };
+        Event::Heard(zone, self.hosts[host].id.clone(), sums, latency, load)
     }
 }
--- a/crates/wingfold-lab/src/simulation/setup.rs
+++ b/crates/wingfold-lab/src/simulation/setup.rs
@@ -1,143 +1,143 @@
 //! Builds a scenario's site from its seed and starts it.
 
-use super::director::Controller;
+use super::checks::CHECK_PERIOD;
+use super::director::DirectorNode;
 use super::discovery::entry;
-use super::event::Happens;
-use super::faults::strike;
-use super::{Onlooker, World};
+use super::event::{EventQueue, SimulationEvent};
+use super::faults::{draw_targets, Disruptions};
+use super::{Observer, Simulation};
 use crate::host::Host;
 use crate::proxy::Proxy;
-use crate::results::{Played, Served, WINDOW_S};
-use crate::rules::Margins;
+use crate::results::RunResult;
 use crate::scenario::Scenario;
-use hdrhistogram::Histogram;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
-use wingfold_capture::mirror::Mirror;
 use wingfold_director::interface::*;
 
-impl<'a> World<'a> {
+/// Streams of random numbers: what one of them draws does not change the others.
+const SITE_STREAM: u64 = 1;
+const ARRIVAL_STREAM: u64 = 2;
+const EVENT_STREAM: u64 = 3;
+/// Hosts that a proxy knows before it hears from a director.
+const INITIAL_HOSTS: usize = 8;
+/// Proxies connect for the first time between these times.
+const FIRST_CONNECT: (Micros, Micros) = (Micros(20_000), Micros(500_000));
+/// The first made-up message of the first director; each later one sends a microsecond later.
+const FIRST_PEER_MESSAGE: Micros = Micros(1000);
+
+impl<'a> Simulation<'a> {
     pub(super) fn new(
-        plan: &'a Scenario,
+        scenario: &'a Scenario,
         seed: u64,
         captures: Option<&'a Path>,
-        onlooker: &'a mut dyn Onlooker,
+        observer: &'a mut dyn Observer,
     ) -> Self {
-        let stream = |number: u64| {
-            let mut chance = ChaCha8Rng::seed_from_u64(seed);
-            chance.set_stream(number);
-            chance
-        };
-        let mut draw = stream(1);
-        let zones = plan.settings.zones.len();
-        let mut hosts = Vec::new();
-        for kind in &plan.kinds {
-            for at in 0..kind.count {
-                let speed = draw.random_range(kind.speed.0..=kind.speed.1);
-                let id = HostId(Arc::from(format!("{}-{at}", kind.name).as_str()));
-                hosts.push(Host::new(id, &kind.name, (hosts.len()) % zones, kind.cores, speed));
-            }
-        }
-        let works =
-            plan.loads.iter().map(|load| draw.random_range(load.work_ms.0..=load.work_ms.1)).collect();
-        let classes = plan.loads.len();
-        let count = plan.settings.proxies as usize;
-        let sizes: Vec<f64> =
-            (0..count).map(|_| 10f64.powf(plan.unequal * (draw.random::<f64>() - 0.5))).collect();
-        let all: f64 = sizes.iter().sum();
-        let mut proxies = Vec::new();
-        for (at, size) in sizes.iter().enumerate() {
-            let zone = at % zones;
-            let mut near: Vec<usize> = (0..hosts.len()).filter(|host| hosts[*host].zone == zone).collect();
-            near.shuffle(&mut draw);
-            let lines = near.into_iter().take(8).map(|host| (host, 1.0)).collect();
-            proxies.push(Proxy::new(zone, plan.rate * size / all, Arc::new(lines), classes));
-        }
-        let struck = plan.faults.iter().map(|fault| strike(fault, &hosts, plan, &mut draw)).collect();
-        let names = hosts.iter().enumerate().map(|(at, host)| (host.id.clone(), at)).collect();
-        let windows = (plan.length.secs() / WINDOW_S).ceil() as usize;
-        let times = || Histogram::new_with_bounds(1, 600_000_000, 3).expect("these bounds are sound");
-        World {
-            busy: vec![None; hosts.len()],
-            first: hosts.iter().map(|host| entry(host, plan)).collect(),
-            plan,
+        let mut rng = seeded_rng(seed, SITE_STREAM);
+        let hosts = draw_hosts(scenario, &mut rng);
+        let mean_work_ms = draw_mean_work(scenario, &mut rng);
+        let proxies = draw_proxies(scenario, &hosts, &mut rng);
+        let targets = |fault| draw_targets(fault, &hosts, scenario, &mut rng);
+        let fault_targets = scenario.faults.iter().map(targets).collect();
+        let zones = scenario.settings.zones.len();
+        Simulation {
+            scenario,
             seed,
             captures,
-            onlooker,
+            observer,
             now: Micros(0),
-            due: BinaryHeap::new(),
-            number: 0,
-            arrivals: stream(2),
-            chance: stream(3),
+            events: EventQueue::default(),
+            arrival_rng: seeded_rng(seed, ARRIVAL_STREAM),
+            rng: seeded_rng(seed, EVENT_STREAM),
+            host_index: hosts.iter().enumerate().map(|(at, host)| (host.id.clone(), at)).collect(),
+            initial_list: hosts.iter().map(|host| entry(host, scenario)).collect(),
+            utilization: vec![None; hosts.len()],
+            last_report: Micros(0),
             hosts,
-            names,
-            reported: Micros(0),
             proxies,
             directors: Vec::new(),
             requests: BTreeMap::new(),
-            struck,
-            cut: BTreeSet::new(),
-            burst: 1.0,
-            traffic: vec![1.0; zones],
-            mute: BTreeSet::new(),
-            late: Micros(0),
-            silent_list: false,
-            works,
+            admitted: 0,
+            mean_work_ms,
+            fault_targets,
+            disruptions: Disruptions::none(zones),
             actions: Vec::new(),
-            played: Played {
-                served: vec![vec![Served::default(); classes]; zones],
-                windows: vec![(0.0, 0.0); windows.max(1)],
-                times: (0..classes).map(|_| times()).collect(),
-                margins: Margins::default(),
-                retries: 0,
-                crossed: 0,
-                messages: 0,
-                lines: 0,
-                log: Vec::new(),
-                digests: Vec::new(),
-            },
+            result: RunResult::new(zones, scenario.classes.len(), scenario.duration),
         }
     }
 
-    pub(super) fn begin(&mut self) -> io::Result<()> {
-        for at in 0..self.plan.settings.directors as usize {
-            let zone = at % self.plan.settings.zones.len();
-            self.directors.push(Controller {
-                module: None,
-                tap: None,
-                incarnation: 0,
-                started: Micros(0),
-                stalled: false,
-                waiting: Vec::new(),
-                mirror: Mirror::default(),
-                snapshots: BTreeMap::new(),
-                users: BTreeMap::new(),
-                free: Micros(0),
-                arrives: BTreeMap::new(),
-                told: BTreeMap::new(),
-                zone,
-            });
-            self.start_director(at)?;
-            if self.plan.peers.0 > 0.0 && self.plan.settings.directors > 1 {
-                self.at(Micros(1000 + at as u64), Happens::Chatter(at));
-            }
+    /// Starts the directors and schedules what comes of itself.
+    pub(super) fn start(&mut self) -> io::Result<()> {
+        for director in 0..self.scenario.settings.directors as usize {
+            self.add_director(director)?;
         }
         for proxy in 0..self.proxies.len() {
-            let join = self.between(Micros(20_000), Micros(500_000));
-            self.at(join, Happens::Join(proxy));
-            self.next_arrival(proxy);
+            let connects = self.random_time(FIRST_CONNECT.0, FIRST_CONNECT.1);
+            self.schedule_at(connects, SimulationEvent::ProxyConnects { proxy });
+            self.schedule_arrival(proxy);
         }
-        for (at, fault) in self.plan.faults.iter().enumerate() {
-            self.at(fault.at.0, Happens::Fault(at, true));
-            self.at(fault.at.1, Happens::Fault(at, false));
+        for (number, fault) in self.scenario.faults.iter().enumerate() {
+            self.schedule_at(fault.begins, SimulationEvent::FaultChanges { fault: number, active: true });
+            self.schedule_at(fault.ends, SimulationEvent::FaultChanges { fault: number, active: false });
         }
-        self.at(self.plan.settings.report_period, Happens::Report);
-        self.at(Micros(250_000), Happens::Look);
+        self.schedule_at(self.scenario.settings.report_period, SimulationEvent::ReportsDue);
+        self.schedule_at(CHECK_PERIOD, SimulationEvent::CheckDue);
         Ok(())
     }
+
+    fn add_director(&mut self, director: usize) -> io::Result<()> {
+        let zone = director % self.scenario.settings.zones.len();
+        self.directors.push(DirectorNode::new(zone));
+        self.start_director(director)?;
+        if self.scenario.peers.messages_per_s > 0.0 && self.scenario.settings.directors > 1 {
+            let first = Micros(FIRST_PEER_MESSAGE.0 + director as u64);
+            self.schedule_at(first, SimulationEvent::PeerMessageDue { director });
+        }
+        Ok(())
+    }
+}
+
+fn seeded_rng(seed: u64, stream: u64) -> ChaCha8Rng {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(stream);
+    rng
+}
+
+fn draw_hosts(scenario: &Scenario, rng: &mut ChaCha8Rng) -> Vec<Host> {
+    let zones = scenario.settings.zones.len();
+    let mut hosts = Vec::new();
+    for kind in &scenario.host_kinds {
+        for number in 0..kind.count {
+            let speed = rng.random_range(kind.speed.0..=kind.speed.1);
+            let id = HostId(Arc::from(format!("{}-{number}", kind.name).as_str()));
+            let zone = hosts.len() % zones;
+            hosts.push(Host::new(id, &kind.name, zone, kind.cores, speed));
+        }
+    }
+    hosts
+}
+
+fn draw_mean_work(scenario: &Scenario, rng: &mut ChaCha8Rng) -> Vec<f64> {
+    let ranges = scenario.classes.iter().map(|class| class.work_ms);
+    ranges.map(|(least, most)| rng.random_range(least..=most)).collect()
+}
+
+fn draw_proxies(scenario: &Scenario, hosts: &[Host], rng: &mut ChaCha8Rng) -> Vec<Proxy> {
+    let size = |_| 10f64.powf(scenario.rate_skew * (rng.random::<f64>() - 0.5));
+    let sizes: Vec<f64> = (0..scenario.settings.proxies).map(size).collect();
+    let total: f64 = sizes.iter().sum();
+    let mut proxies = Vec::new();
+    for (number, size) in sizes.iter().enumerate() {
+        let zone = number % scenario.settings.zones.len();
+        let mut near: Vec<usize> = (0..hosts.len()).filter(|host| hosts[*host].zone == zone).collect();
+        near.shuffle(rng);
+        let weights = near.into_iter().take(INITIAL_HOSTS).map(|host| (host, 1.0)).collect();
+        let rate = scenario.rate * size / total;
+        proxies.push(Proxy::new(zone, rate, Arc::new(weights), scenario.classes.len()));
+    }
+    proxies
 }
--- a/crates/wingfold-lab/tests/lab.rs
+++ b/crates/wingfold-lab/tests/lab.rs
@@ -1,7 +1,7 @@
 //! The emulator: the same seed plays the same day, rules are checked and can be broken, scenarios are checked.
 
 use wingfold_lab::experiment::Experiment;
-use wingfold_lab::{play, report, Scenario};
+use wingfold_lab::{report, simulate, Scenario};
 
 fn text(name: &str) -> String {
     std::fs::read_to_string(format!("{}/scenarios/{name}.hcl", env!("CARGO_MANIFEST_DIR"))).unwrap()
@@ -20,7 +20,7 @@
     names.sort();
     assert!(names.len() >= 12);
     for name in names {
-        let played = play(&scenario(&name), 1, None).unwrap();
+        let played = simulate(&scenario(&name), 1, None).unwrap();
         assert_eq!(played.margins.broken(), Vec::<String>::new(), "{name}");
         let service = played.service();
         assert!((0.5..=1.0).contains(&service), "{name}: {service}");
@@ -30,7 +30,7 @@
 }
 
 /// Requests that had no end when the day was over: a few at most.
-fn in_flight(all: &wingfold_lab::results::Served) -> u64 {
+fn in_flight(all: &wingfold_lab::results::RequestCounts) -> u64 {
     let rest = all.asked - all.refused - all.good - all.late - all.lost;
     assert!(rest <= all.asked / 20, "{rest} of {}", all.asked);
     rest
@@ -39,9 +39,9 @@
 #[test]
 fn a_seed_plays_the_same_day_again_and_another_one_does_not() {
     let plan = scenario("release-and-errors");
-    let [one, same, other] = [1, 1, 2].map(|seed| play(&plan, seed, None).unwrap());
-    assert_eq!((&one.served, &one.digests, &one.log), (&same.served, &same.digests, &same.log));
-    assert_ne!(one.served, other.served);
+    let [one, same, other] = [1, 1, 2].map(|seed| simulate(&plan, seed, None).unwrap());
+    assert_eq!((&one.counts, &one.digests, &one.log), (&same.counts, &same.digests, &same.log));
+    assert_ne!(one.counts, other.counts);
 }
 
 #[test]
@@ -49,10 +49,10 @@
     let calm = |name: &str| {
         let mut plan = scenario(name);
         plan.faults.clear();
-        play(&plan, 3, None).unwrap().service()
+        simulate(&plan, 3, None).unwrap().service()
     };
     for name in ["overload", "cold-host", "hang-and-vanish", "release-and-errors"] {
-        let rough = play(&scenario(name), 3, None).unwrap().service();
+        let rough = simulate(&scenario(name), 3, None).unwrap().service();
         assert!(rough + 0.002 < calm(name), "{name}: {rough} against {}", calm(name));
     }
 }
@@ -76,7 +76,7 @@
     assert_eq!(csv.lines().count(), 1 + 3 * 3 * 2, "{csv}");
     assert!(csv.lines().all(|line| line.split(',').count() == 16));
     let service = experiment.mean(|played| played.service());
-    assert!(service.count == 3 && service.off.is_finite());
+    assert!(service.count == 3 && service.half_width.is_finite());
     assert!(report::markdown(&experiment).contains("seeds 1, 2, 3"));
     assert!(report::chart(&experiment).unwrap().starts_with("<svg"));
 }
--- a/crates/wingfold-lab/tests/silence.rs
+++ b/crates/wingfold-lab/tests/silence.rs
@@ -6,7 +6,7 @@
 use wingfold_director::Director;
 use wingfold_figures::silence::State;
 use wingfold_figures::{Figure, Interval, Meter, Value};
-use wingfold_lab::simulation::{play_before, Onlooker};
+use wingfold_lab::simulation::{simulate_observed, Observer};
 use wingfold_lab::Scenario;
 
 /// Counts for director 0 as the engine does.
@@ -17,8 +17,8 @@
     intervals: Vec<Interval>,
 }
 
-impl Onlooker for Watch {
-    fn called(
+impl Observer for Watch {
+    fn director_called(
         &mut self,
         director: usize,
         now: Micros,
@@ -62,7 +62,7 @@
     let plan =
         Scenario::read("picture", &format!("{site}\n{trouble}")).unwrap_or_else(|faults| panic!("{faults}"));
     let mut watch = Watch { meter: None, seen: BTreeMap::new(), intervals: Vec::new() };
-    play_before(&plan, seed, None, &mut watch).unwrap();
+    simulate_observed(&plan, seed, None, &mut watch).unwrap();
     watch
 }
 
--- a/crates/wingfold/src/lab.rs
+++ b/crates/wingfold/src/lab.rs
@@ -7,7 +7,7 @@
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use wingfold_lab::experiment::Experiment;
-use wingfold_lab::{report, Scenario};
+use wingfold_lab::{report, RunResult, Scenario};
 
 /// What can be done in the emulator.
 #[derive(Debug, Subcommand)]
@@ -72,7 +72,7 @@
                 return Ok(if faults.is_empty() { Outcome::Good } else { Outcome::Unusable });
             }
         };
-        let (plan, range) = (read(&scenario)?, seeds(&range)?);
+        let (scenario, range) = (read(&scenario)?, seeds(&range)?);
         let bar = match std::io::stderr().is_terminal() {
             false => ProgressBar::hidden(),
             true => {
@@ -81,13 +81,13 @@
                 ProgressBar::new(range.end() - range.start() + 1).with_style(style)
             }
         };
-        let each = |seed: u64, played: &wingfold_lab::Played| {
+        let progress = |seed: u64, result: &RunResult| {
             bar.inc(1);
-            for (at, director, text) in played.log.iter().filter(|_| log) {
-                println!("seed {seed} director {director} {}: {text}", say::time(*at));
+            for line in result.log.iter().filter(|_| log) {
+                println!("seed {seed} director {} {}: {}", line.director, say::time(line.at), line.text);
             }
         };
-        let experiment = Experiment::run(plan, range, capture.as_deref(), each);
+        let experiment = Experiment::run(scenario, range, capture.as_deref(), progress);
         let experiment = experiment.map_err(|problem| problem.to_string())?;
         bar.finish_and_clear();
         match &out {
@@ -95,11 +95,11 @@
             Some(folder) => {
                 report::write(&experiment, folder)
                     .map_err(|problem| format!("{}: {problem}", folder.display()))?;
-                let service = experiment.mean(|played| played.service());
+                let service = experiment.mean(|result| result.service());
                 println!(
                     "service {:.4} ± {:.4}; tables and chart in {}",
                     service.mean,
-                    service.off,
+                    service.half_width,
                     folder.display()
                 );
             }
