Scale runs: real directors as processes among hollow parts, with faults and a comparison

The plan of a scale run had nothing to play. Now wingfold-scale run starts real directors as processes and the rest of the fleet as tasks of its own: one scripted discovery that handles calls one after another, hosts that count probes, hollow directors that watch, ask for whole lists and probe at the pace of the module, and proxies and collectors that answer marks at the told pace of the channel. From outside it measures processor time, peak memory, descriptors and bytes of the real directors, and the time from a change of the list or of the configuration until each has it; hollow and real directors are compared by calls, bytes and probes. What dies, is not ready or stays behind is named, the exit code is 1, and everything started is ended, also when interrupted.

With proxies that answered marks at once, without the channel's pace, a director in a debug build broke the node's own count of the channel (4,387 lines waited where 4,000 may): the proxies were at fault, and are paced now.

--- a/crates/wingfold-scale/src/cli.rs
+++ b/crates/wingfold-scale/src/cli.rs
@@ -3,11 +3,21 @@
 use crate::faults::Fault;
 use crate::limits::{LimitsError, Machine, Refusal};
 use crate::plan::{Plan, Step};
+use crate::report::Report;
+use crate::run::{Patience, Run, RunError};
+use crate::script::FaultPlan;
 use clap::error::{ContextKind, ErrorKind};
 use clap::{Args, CommandFactory, Parser, Subcommand};
-use std::path::PathBuf;
+use std::future::Future;
+use std::io;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Threads of the hollow parts; real directors need cores too.
+const WORKERS: usize = 3;
 
 const EXAMPLES: &str = "\
 Exit codes: 0 played and as it should be, 1 could not be played or something of it failed, 2 a wrong option.
@@ -36,6 +46,8 @@
 pub enum Command {
     /// State what a run would take of the machine, and whether it may
     Plan(RunOptions),
+    /// Play one step of the ladder
+    Run(RunOptions),
 }
 
 /// Options of one run.
@@ -73,6 +85,23 @@
 /// Why a command could not be carried out.
 #[derive(Debug, thiserror::Error)]
 pub enum CommandError {
+    /// A run has failed.
+    #[error(transparent)]
+    Run(#[from] RunError),
+    /// Hollow directors did not do as real ones.
+    #[error("hollow and real directors differ in: {0}")]
+    Differs(String),
+    /// A report cannot be written.
+    #[error("{}: {problem}", path.display())]
+    Output {
+        /// Where to.
+        path: PathBuf,
+        /// Why not.
+        problem: io::Error,
+    },
+    /// The runtime or its signals cannot be had.
+    #[error("the runtime cannot be started: {0}")]
+    Runtime(io::Error),
     /// The machine does not tell its limits.
     #[error(transparent)]
     Limits(#[from] LimitsError),
@@ -86,6 +115,12 @@
     pub fn plan(&self) -> Result<Plan, Refusal> {
         Plan::new(self.step, self.real_directors, Duration::from_secs(self.seconds), self.seed)
     }
+
+    /// The run that these options ask for.
+    pub fn run(&self) -> Result<Run, Refusal> {
+        let fault = FaultPlan { fault: self.fault, lasts: Duration::from_secs(self.fault_seconds) };
+        Ok(Run { plan: self.plan()?, program: self.program.clone(), fault, patience: Patience::default() })
+    }
 }
 
 /// Reads a command line. An option that does not exist is refused with those that do.
@@ -114,6 +149,8 @@
         Ok(cli) => cli,
         Err(error) => error.exit(),
     };
+    let lines = tracing_subscriber::fmt().with_ansi(false).with_writer(io::stderr);
+    lines.with_max_level(tracing::Level::INFO).init();
     match carry_out(cli.command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -126,7 +163,51 @@
 fn carry_out(command: Command) -> Result<(), CommandError> {
     match command {
         Command::Plan(options) => state_plan(&options),
+        Command::Run(options) => runtime()?.block_on(run(&options)),
+    }
+}
+
+/// Plays one run and shows its report.
+async fn run(options: &RunOptions) -> Result<(), CommandError> {
+    let run = options.run()?;
+    println!("{}", run.plan);
+    let report = run.play(interrupted().map_err(CommandError::Runtime)?).await?;
+    if options.table || options.json.is_none() {
+        println!("{report}");
+    }
+    if let Some(path) = &options.json {
+        write_json(path, &report)?;
     }
+    check_compared(&report)
+}
+
+fn write_json(path: &Path, report: &Report) -> Result<(), CommandError> {
+    let text = serde_json::to_string_pretty(report).expect("a report is plain JSON");
+    std::fs::write(path, text + "\n").map_err(|problem| CommandError::Output { path: path.into(), problem })
+}
+
+fn check_compared(report: &Report) -> Result<(), CommandError> {
+    let differ: Vec<&str> = report.differences().iter().map(|compared| compared.figure).collect();
+    match differ.is_empty() {
+        true => Ok(()),
+        false => Err(CommandError::Differs(differ.join(", "))),
+    }
+}
+
+fn runtime() -> Result<Runtime, CommandError> {
+    let mut builder = Builder::new_multi_thread();
+    builder.worker_threads(WORKERS).enable_all().build().map_err(CommandError::Runtime)
+}
+
+/// Ends when the process is asked to end.
+fn interrupted() -> io::Result<impl Future<Output = ()>> {
+    let (mut interrupt, mut terminate) = (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?);
+    Ok(async move {
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+    })
 }
 
 /// States the plan, and refuses it where it takes too much.
--- /dev/null
+++ b/crates/wingfold-scale/src/http.rs
@@ -0,0 +1,132 @@
+//! As much of HTTP/1.1 as discovery and hosts speak: requests without a body, answers with a length.
+
+use std::io;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+
+/// A longer line in a head is none of this protocol.
+const LONGEST_LINE: u64 = 8 << 10;
+
+/// A request as it arrived.
+#[derive(Debug)]
+pub struct Request {
+    /// Its page, with the query.
+    pub page: String,
+    /// Bytes of the whole request.
+    pub bytes: u64,
+}
+
+impl Request {
+    /// A number of the query.
+    pub fn number(&self, key: &str) -> Option<u64> {
+        let (_, query) = self.page.split_once('?')?;
+        let value = query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='));
+        value?.parse().ok()
+    }
+}
+
+/// An answer as it arrived.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// A connection of either end.
+#[derive(Debug)]
+pub struct Connection {
+    reader: BufReader<OwnedReadHalf>,
+    writer: OwnedWriteHalf,
+}
+
+impl Connection {
+    /// Over a connection that is up.
+    pub fn new(stream: TcpStream) -> Connection {
+        // Where it cannot be set the connection is slower, no more.
+        let _ = stream.set_nodelay(true);
+        let (reader, writer) = stream.into_split();
+        Connection { reader: BufReader::new(reader), writer }
+    }
+
+    /// The next request; `None` once the other end has closed.
+    pub async fn request(&mut self) -> io::Result<Option<Request>> {
+        let Some(first) = self.line().await? else { return Ok(None) };
+        let page = first.split(' ').nth(1).ok_or(io::ErrorKind::InvalidData)?.to_string();
+        let mut bytes = first.len() as u64;
+        loop {
+            let line = self.line().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+            bytes += line.len() as u64;
+            if line == "\r\n" {
+                return Ok(Some(Request { page, bytes }));
+            }
+        }
+    }
+
+    /// Answers a request; gives the bytes written.
+    pub async fn answer(&mut self, status: &str, body: &str) -> io::Result<u64> {
+        let head = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n", body.len());
+        self.writer.write_all(&[head.as_bytes(), body.as_bytes()].concat()).await?;
+        Ok((head.len() + body.len()) as u64)
+    }
+
+    /// Gets a page.
+    pub async fn get(&mut self, page: &str, host: &str) -> io::Result<Answer> {
+        let request = format!("GET {page} HTTP/1.1\r\nhost: {host}\r\n\r\n");
+        self.writer.write_all(request.as_bytes()).await?;
+        let first = self.line().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let status = first.split(' ').nth(1).and_then(|status| status.parse().ok());
+        let status = status.ok_or(io::ErrorKind::InvalidData)?;
+        let mut body = vec![0; self.content_length().await?];
+        self.reader.read_exact(&mut body).await?;
+        Ok(Answer { status, body })
+    }
+
+    /// Ends when the other end closes; what arrives meanwhile is left where it is.
+    pub async fn closed(&mut self) {
+        let _ = self.reader.fill_buf().await;
+    }
+
+    /// Ends the connection by a reset, so that no address stays taken.
+    pub fn reset(self) {
+        if let Ok(stream) = self.reader.into_inner().reunite(self.writer) {
+            let _ = stream.set_zero_linger();
+        }
+    }
+
+    async fn content_length(&mut self) -> io::Result<usize> {
+        let mut length = 0;
+        loop {
+            let line = self.line().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+            if line == "\r\n" {
+                return Ok(length);
+            }
+            if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+                length = value.trim().parse().map_err(|_| io::ErrorKind::InvalidData)?;
+            }
+        }
+    }
+
+    /// A line with its end; `None` at the end of the connection.
+    async fn line(&mut self) -> io::Result<Option<String>> {
+        let mut line = String::new();
+        let read = (&mut self.reader).take(LONGEST_LINE).read_line(&mut line).await?;
+        match line.ends_with("\r\n") {
+            true => Ok(Some(line)),
+            false if read == 0 => Ok(None),
+            false => Err(io::ErrorKind::InvalidData.into()),
+        }
+    }
+}
+
+/// Dials within a time.
+pub async fn dial(
+    socket: tokio::net::TcpSocket,
+    to: std::net::SocketAddr,
+    within: Duration,
+) -> io::Result<TcpStream> {
+    tokio::time::timeout(within, socket.connect(to)).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+}
--- a/crates/wingfold-scale/src/lib.rs
+++ b/crates/wingfold-scale/src/lib.rs
@@ -6,6 +6,21 @@
 #![warn(missing_docs)]
 
 pub mod cli;
+pub mod compare;
+pub mod counters;
+pub mod delays;
+pub mod deployment;
+pub mod discovery;
 pub mod faults;
+pub mod fleet;
+pub mod hollow;
+pub mod http;
 pub mod limits;
+pub mod list;
+pub mod measure;
+pub mod messages;
 pub mod plan;
+pub mod real;
+pub mod report;
+pub mod run;
+pub mod script;
--- a/crates/wingfold-scale/src/plan.rs
+++ b/crates/wingfold-scale/src/plan.rs
@@ -19,13 +19,13 @@
 
 /// Proxies and collectors that dial each hollow director, but for the reference one, which is dialled in full. All of
 /// them would take more descriptors than one process has, and touch nothing that is measured.
-pub const PROXIES_PER_HOLLOW: usize = 2;
+pub const PROXIES_PER_HOLLOW: usize = 1;
 /// See [`PROXIES_PER_HOLLOW`].
 pub const COLLECTORS_PER_HOLLOW: usize = 1;
 
 /// Descriptors of a hollow director beside those that dial it: its listener, both ends of its connection to
-/// discovery, and both ends of a probe under way.
-const DESCRIPTORS_PER_HOLLOW: usize = 5;
+/// discovery, and both ends of two probes under way.
+const DESCRIPTORS_PER_HOLLOW: usize = 7;
 /// Connections to hosts that a real director keeps, at most: some 16 probes a second, each kept for 5 s, and a fifth.
 const PROBE_CONNECTIONS_PER_REAL: usize = 96;
 /// Descriptors of the process itself: its runtime, its output, logs of real directors, files of /proc.
@@ -197,7 +197,8 @@
         let per_hollow = DESCRIPTORS_PER_HOLLOW + both_ends * (PROXIES_PER_HOLLOW + COLLECTORS_PER_HOLLOW);
         let reference = both_ends * sizes.clients_per_director();
         let per_real = 1 + sizes.clients_per_director() + PROBE_CONNECTIONS_PER_REAL.min(sizes.hosts);
-        let discovery_listeners = sizes.directors;
+        // One before discovery moves and one after.
+        let discovery_listeners = 2 * sizes.directors;
         sizes.hollow_directors() * per_hollow
             + reference
             + sizes.real_directors * per_real
--- /dev/null
+++ b/crates/wingfold-scale/src/script.rs
@@ -0,0 +1,178 @@
+//! What happens in a run, and when: changes of the list, one fault, and the move of discovery.
+
+use crate::faults::{self, Fault};
+use crate::fleet::{Fleet, FleetError};
+use crate::list::HostState;
+use rand::seq::SliceRandom;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::{interval, Instant, MissedTickBehavior};
+
+/// Time between two changes of the list.
+const CHANGE_EVERY: Duration = Duration::from_secs(1);
+/// Changes that a host stays away for.
+const AWAY_CHANGES: usize = 10;
+/// The parts of a run are looked at this often.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// Looks between two measures of the real directors.
+const LOOKS_PER_MEASURE: u32 = 5;
+/// When the fault begins, and when discovery moves, as shares of the run.
+const FAULT_AT: f64 = 0.25;
+const MOVE_AT: f64 = 0.75;
+/// The zone that `zone-silent` silences.
+const SILENT_ZONE: usize = 0;
+
+/// The fault of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct FaultPlan {
+    /// Which one.
+    pub fault: Fault,
+    /// How long it lasts.
+    pub lasts: Duration,
+}
+
+/// The script of one run.
+#[derive(Debug)]
+pub struct Script {
+    fault: FaultPlan,
+    duration: Duration,
+    /// Hosts in the order in which they leave.
+    next: VecDeque<usize>,
+    /// Hosts that are away, the one that left first in front.
+    away: VecDeque<usize>,
+    changes: u64,
+    phase: Phase,
+    has_moved: bool,
+    begun: Option<Instant>,
+    looks: u32,
+}
+
+/// Where the fault stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    Before,
+    During,
+    After,
+}
+
+impl Script {
+    /// The script of a run over so many hosts.
+    pub fn new(hosts: usize, seed: u64, duration: Duration, fault: FaultPlan) -> Script {
+        let mut order: Vec<usize> = (0..hosts).collect();
+        order.shuffle(&mut ChaCha8Rng::seed_from_u64(seed));
+        Script {
+            fault,
+            duration,
+            next: order.into(),
+            away: VecDeque::new(),
+            changes: 0,
+            phase: Phase::Before,
+            has_moved: false,
+            begun: None,
+            looks: 0,
+        }
+    }
+
+    /// Plays it until discovery moves.
+    pub async fn play_until_move(&mut self, fleet: &mut Fleet) -> Result<(), FleetError> {
+        self.play_until(self.duration.mul_f64(MOVE_AT), fleet).await
+    }
+
+    /// Plays it to its end.
+    pub async fn play_to_end(&mut self, fleet: &mut Fleet) -> Result<(), FleetError> {
+        self.play_until(self.duration, fleet).await
+    }
+
+    /// Changes of the list so far.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    async fn play_until(&mut self, end: Duration, fleet: &mut Fleet) -> Result<(), FleetError> {
+        let begun = *self.begun.get_or_insert_with(Instant::now);
+        let mut ticks = interval(LOOK_EVERY);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while begun.elapsed() < end {
+            self.advance(begun.elapsed(), fleet).await?;
+            fleet.check()?;
+            if self.looks.is_multiple_of(LOOKS_PER_MEASURE) {
+                fleet.measure()?;
+            }
+            self.looks += 1;
+            ticks.tick().await;
+        }
+        Ok(())
+    }
+
+    /// Does what is due.
+    async fn advance(&mut self, at: Duration, fleet: &mut Fleet) -> Result<(), FleetError> {
+        if at >= CHANGE_EVERY * self.changes as u32 {
+            self.change(fleet);
+        }
+        let begins = self.duration.mul_f64(FAULT_AT);
+        match self.phase {
+            Phase::Before if self.fault.fault == Fault::None => self.phase = Phase::After,
+            Phase::Before if at >= begins => {
+                self.phase = Phase::During;
+                tracing::info!(fault = %self.fault.fault, "fault begins");
+                begin(self.fault.fault, fleet).await?;
+            }
+            Phase::During if at >= begins + self.fault.lasts => {
+                self.phase = Phase::After;
+                tracing::info!(fault = %self.fault.fault, "fault ends");
+                end(self.fault.fault, fleet);
+            }
+            _ => {}
+        }
+        if !self.has_moved && at >= self.duration.mul_f64(MOVE_AT) {
+            self.has_moved = true;
+            tracing::info!("discovery moves");
+            fleet.move_discovery().await?;
+        }
+        Ok(())
+    }
+
+    /// One host leaves, and the one that has been away longest is back.
+    fn change(&mut self, fleet: &Fleet) {
+        let mut changes = Vec::new();
+        if let Some(leaves) = self.next.pop_front() {
+            self.away.push_back(leaves);
+            fleet.departures.begin(leaves);
+            changes.push((leaves, HostState::Leaving, 0));
+        }
+        let is_back = self.away.len() > AWAY_CHANGES || changes.is_empty();
+        if let Some(back) = if is_back { self.away.pop_front() } else { None } {
+            fleet.departures.end(back);
+            self.next.push_back(back);
+            changes.push((back, HostState::Active, unix_ms()));
+        }
+        fleet.discovery.change(&changes);
+        self.changes += 1;
+    }
+}
+
+async fn begin(fault: Fault, fleet: &mut Fleet) -> Result<(), FleetError> {
+    match fault {
+        Fault::None => {}
+        Fault::DiscoveryDown => fleet.discovery.set_down(true),
+        Fault::ZoneSilent => fleet.hosts.set_silent(SILENT_ZONE, true),
+        Fault::RestartQuarter => fleet.restart(faults::is_restarted).await?,
+        Fault::RegionCut => fleet.cut_region(true),
+    }
+    Ok(())
+}
+
+fn end(fault: Fault, fleet: &Fleet) {
+    match fault {
+        Fault::None | Fault::RestartQuarter => {}
+        Fault::DiscoveryDown => fleet.discovery.set_down(false),
+        Fault::ZoneSilent => fleet.hosts.set_silent(SILENT_ZONE, false),
+        Fault::RegionCut => fleet.cut_region(false),
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/wingfold-scale/tests/parts.rs
@@ -0,0 +1,173 @@
+//! Parts of a run that need no real director: texts of /proc, spreads, lists, tables, comparisons, discovery.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use wingfold_scale::compare::{compare, Kind};
+use wingfold_scale::counters::TrafficCount;
+use wingfold_scale::delays::Delays;
+use wingfold_scale::discovery::Discovery;
+use wingfold_scale::hollow::proxy::Tables;
+use wingfold_scale::http::{Answer, Connection};
+use wingfold_scale::list::{HostList, HostState};
+use wingfold_scale::measure::{peak_memory_kib, processor_ticks};
+use wingfold_scale::messages::{DirectorMessage, Order};
+use wingfold_scale::plan::{Sizes, Step};
+
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+fn sizes() -> Sizes {
+    Sizes::of(Step::Sixteenth, 2)
+}
+
+fn list() -> HostList {
+    HostList::new(&sizes(), &vec![SocketAddr::new(LOOPBACK, 1); sizes().hosts])
+}
+
+fn order(text: &str) -> Order<'_> {
+    match serde_json::from_str(text).unwrap() {
+        DirectorMessage::Config(order) => order,
+        DirectorMessage::Pong => panic!("an order is expected"),
+    }
+}
+
+#[test]
+fn processor_time_and_memory_are_read_past_a_name_with_parentheses() {
+    let stat = "7 (a (b) c) S 1 7 7 0 -1 4194560 100 0 0 0 250 50 0 0 20 0 3 0 100 1 1";
+    assert_eq!(processor_ticks(stat), Some(300));
+    assert_eq!(peak_memory_kib("Name:\tx\nVmPeak:\t 9 kB\nVmHWM:\t  2048 kB\n"), Some(2_048));
+    assert_eq!((processor_ticks("7 x"), peak_memory_kib("")), (None, None));
+}
+
+#[test]
+fn a_spread_has_its_median_its_99_in_100_and_its_worst() {
+    let delays = Delays::default();
+    assert_eq!(delays.spread().worst_ms, 0.0);
+    (1..=200).rev().for_each(|ms| delays.record(Duration::from_millis(ms)));
+    let spread = delays.spread();
+    assert_eq!((spread.count, spread.median_ms, spread.p99_ms, spread.worst_ms), (200, 100.0, 198.0, 200.0));
+}
+
+#[test]
+fn the_list_answers_with_changes_or_as_a_whole() {
+    let mut list = list();
+    let whole = list.answer(None);
+    assert_eq!((whole.version, whole.entries), (1, sizes().hosts));
+    assert!(whole.text.starts_with(r#"{"version":1,"full":true,"servers":[{"id":"s-00000","#));
+    assert!(!list.is_newer_than(Some(1)));
+    assert_eq!(list.change(&[(3, HostState::Leaving, 0), (5, HostState::Active, 12)]), 2);
+    let changes = list.answer(Some(1));
+    assert!(changes.text.starts_with(r#"{"version":2,"full":false,"#) && changes.entries == 2);
+    let every: Vec<_> = (0..sizes().hosts).map(|host| (host, HostState::Active, 0)).collect();
+    list.change(&every);
+    assert!(list.answer(Some(2)).text.contains(r#""full":true"#), "the whole list is shorter to say");
+}
+
+#[test]
+fn a_hollow_proxys_tables_follow_orders_and_tell_which_hosts_go_out_of_use() {
+    let mut tables = Tables::new(4);
+    let whole =
+        r#"{"type":"CONFIG","whole":true,"lines":[["s-00000",1.5],["s-00001",0.2]],"level":0.9,"retry":1}"#;
+    assert_eq!(tables.apply(&order(whole)), Ok(vec![]));
+    let one_class = r#"{"type":"CONFIG","classes":["lookup"],"lines":[["s-00000",0],["s-00002",1.0]]}"#;
+    assert_eq!(tables.apply(&order(one_class)), Ok(vec![]), "the other class still uses it");
+    let other = r#"{"type":"CONFIG","classes":["order"],"lines":[["s-00000",0]],"ticket":7}"#;
+    assert_eq!(tables.apply(&order(other)), Ok(vec![0]));
+    assert_eq!(tables.apply(&order(r#"{"type":"CONFIG","out":["s-00001"]}"#)), Ok(vec![1]));
+    assert_eq!(tables.apply(&order(r#"{"type":"CONFIG","back":["s-00001"]}"#)), Ok(vec![]));
+    assert_eq!(tables.len(), 2);
+    assert!(tables.apply(&order(r#"{"type":"CONFIG","lines":[["s-00009",1]]}"#)).is_err());
+    assert!(tables.apply(&order(r#"{"type":"CONFIG","classes":["other"]}"#)).is_err());
+}
+
+#[test]
+fn an_orders_lines_count_as_in_the_channel() {
+    let whole =
+        r#"{"type":"CONFIG","whole":true,"lines":[["s-00000",1.5]],"level":0.9,"retry":1,"more":true}"#;
+    assert_eq!((order(whole).count(), order(whole).more), (3, true), "a line, a level and the whole");
+    let rest = r#"{"type":"CONFIG","classes":["order"],"out":["s-00001"],"back":["s-00002"],"ticket":9}"#;
+    assert_eq!((order(rest).count(), order(rest).more), (3, false));
+}
+
+#[test]
+fn hollow_directors_that_do_as_real_ones_compare_well_and_others_do_not() {
+    let kind = |directors: u64, calls: u64, probes: u64| Kind {
+        directors: directors as usize,
+        discovery: TrafficCount {
+            messages: directors * calls,
+            bytes_in: directors * 90,
+            bytes_out: directors * 900,
+        },
+        probers: directors as usize,
+        probes: directors * probes,
+    };
+    let holds = |hollow: Kind| -> Vec<bool> {
+        compare(&kind(2, 100, 10_000), &hollow).iter().map(|compared| compared.holds()).collect()
+    };
+    assert_eq!(holds(kind(28, 108, 10_900)), [true; 4]);
+    assert_eq!(holds(kind(28, 112, 10_000)), [false, true, true, true]);
+    assert_eq!(holds(kind(28, 100, 8_000)), [true, true, true, false]);
+}
+
+/// A discovery of the smallest step's list, served on sockets, and a connection of director 0 to it.
+async fn served() -> (Discovery, Connection, SocketAddr) {
+    let (discovery, queue) = Discovery::new(&sizes(), list());
+    tokio::spawn(queue);
+    let (address, serving) = discovery.listen(LOOPBACK, 0, None).await.unwrap();
+    tokio::spawn(serving);
+    (discovery, dial(address).await, address)
+}
+
+async fn dial(address: SocketAddr) -> Connection {
+    Connection::new(TcpStream::connect(address).await.unwrap())
+}
+
+async fn get(connection: &mut Connection, page: &str) -> Answer {
+    connection.get(page, "discovery").await.unwrap()
+}
+
+#[tokio::test]
+async fn discovery_answers_a_watch_at_once_when_something_changes() {
+    let (discovery, mut connection, _) = served().await;
+    assert_eq!(get(&mut connection, "/v1/endpoints").await.status, 200);
+    let watch =
+        tokio::spawn(async move { get(&mut connection, "/v1/endpoints?after=1&wait_ms=60000").await });
+    while discovery.traffic(0).count().messages < 2 {
+        tokio::task::yield_now().await;
+    }
+    discovery.change(&[(3, HostState::Leaving, 0)]);
+    let answer = watch.await.unwrap();
+    let body = String::from_utf8(answer.body).unwrap();
+    assert!(body.starts_with(r#"{"version":2,"full":false,"#) && body.contains("leaving"), "{body}");
+    assert_eq!((discovery.written_version(0), discovery.traffic(0).count().messages), (2, 2));
+}
+
+#[tokio::test]
+async fn discovery_that_is_down_refuses_calls_and_ends_its_watches() {
+    let (discovery, mut connection, address) = served().await;
+    let watch =
+        tokio::spawn(async move { get(&mut connection, "/v1/endpoints?after=1&wait_ms=60000").await });
+    while discovery.traffic(0).count().messages < 1 {
+        tokio::task::yield_now().await;
+    }
+    discovery.set_down(true);
+    assert_eq!(watch.await.unwrap().status, 503);
+    let mut another = dial(address).await;
+    assert_eq!(get(&mut another, "/v1/endpoints").await.status, 503);
+    assert!(discovery.was_refused(0));
+    discovery.set_down(false);
+    assert_eq!(get(&mut another, "/v1/endpoints").await.status, 200);
+    assert_eq!((discovery.refused(0), discovery.was_refused(0)), (2, false));
+}
+
+#[tokio::test]
+async fn a_director_that_is_cut_off_gets_no_answer_and_then_a_reset() {
+    let (discovery, mut connection, address) = served().await;
+    discovery.set_cut(0, true);
+    let mut call = tokio::spawn(async move { connection.get("/v1/endpoints", "discovery").await });
+    let silent = tokio::time::timeout(Duration::from_millis(200), &mut call).await;
+    assert!(silent.is_err(), "nothing is said while it is cut off");
+    discovery.set_cut(0, false);
+    assert!(call.await.unwrap().is_err());
+    assert_eq!(get(&mut dial(address).await, "/v1/endpoints").await.status, 200);
+}
