Split collectd's protocol by job: parts, values, encoding, decoding, security, users, intake

What packets are made of, values, packing, reading, signing and encrypting, users' keys and the intake of loads are modules of their own now, and the tests stand in a file of their own. An opened packet is a type in place of a pair, sizes on the wire have names, and securing and opening are one short function for each way. One and Mapped are TypedValue and MappedHost. The protocol is unchanged.

Tests: assertions are unchanged; three name what was renamed (the contents of an opened packet, the bound on what is remembered, TypedValue), and so does tests/figures.rs of wingfold.

--- /dev/null
+++ b/crates/wingfold-figures/src/collectd/tests.rs
@@ -0,0 +1,221 @@
+//! The protocol both ways, its security, and what the intake makes of packets.
+
+use super::intake::MAX_REMEMBERED;
+use super::security::open;
+use super::*;
+use crate::catalogue::Figure;
+use proptest::prelude::*;
+use rand::{RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
+use wingfold_director::interface::Load;
+
+const NOW: Micros = Micros(1_796_083_200_000_000);
+
+fn chance() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(1)
+}
+
+fn load(host: &str, at: Micros, value: f64) -> List {
+    List {
+        host: host.into(),
+        plugin: "load".into(),
+        kind: "load".into(),
+        time: high_resolution(at),
+        interval: high_resolution(Micros(10_000_000)),
+        values: vec![TypedValue::Gauge(value), TypedValue::Gauge(1.0), TypedValue::Gauge(1.0)],
+        ..List::default()
+    }
+}
+
+fn secrets() -> [Secrecy; 3] {
+    let user = || ("lines".to_string(), "a key that is long".to_string());
+    [Secrecy::Plain, Secrecy::Signed(user().0, user().1), Secrecy::Encrypted(user().0, user().1)]
+}
+
+fn users() -> Users {
+    Users::read("# those who may\nlines: a key that is long\n\nother: another key\n").unwrap()
+}
+
+fn intake(secured: bool) -> Intake {
+    let mapped = MappedHost { host: "s-1".into(), cores: 4.0 };
+    Intake::new(users(), secured, BTreeMap::from([("db1".to_string(), mapped)]))
+}
+
+#[test]
+fn the_bytes_are_those_of_the_protocols_description() {
+    let list =
+        List { plugin_instance: "x".into(), kind_instance: "y".into(), ..load("h", Micros(1_000_000), 2.5) };
+    let mut expected = vec![0, 0, 0, 6, b'h', 0];
+    expected.extend([0, 8, 0, 12, 0, 0, 0, 0, 0x40, 0, 0, 0]);
+    expected.extend([0, 9, 0, 12, 0, 0, 0, 2, 0x80, 0, 0, 0]);
+    expected.extend(b"\0\x02\0\x09load\0");
+    expected.extend(b"\0\x03\0\x06x\0");
+    expected.extend(b"\0\x04\0\x09load\0");
+    expected.extend(b"\0\x05\0\x06y\0");
+    expected.extend([0, 6, 0, 33, 0, 3, 1, 1, 1]);
+    expected.extend(2.5f64.to_le_bytes());
+    expected.extend(1f64.to_le_bytes());
+    expected.extend(1f64.to_le_bytes());
+    let packets = packets(std::slice::from_ref(&list), PACKET, &Secrecy::Plain, &mut chance());
+    assert_eq!(packets, [expected]);
+    assert_eq!(read(&packets[0]).unwrap(), [list]);
+}
+
+#[test]
+fn a_signature_is_that_of_the_user_and_the_packet() {
+    // HMAC-SHA-256 of "lines" and the packet under the key, worked out by parts here.
+    let [_, signed, _] = secrets();
+    let packet = &packets(&[load("db1", NOW, 1.0)], PACKET, &signed, &mut chance())[0];
+    assert_eq!(packet[..4], [2, 0, 0, 36 + 5]);
+    assert_eq!(&packet[36..41], b"lines");
+    let key = {
+        let mut block = [0u8; 64];
+        block[..18].copy_from_slice(b"a key that is long");
+        block
+    };
+    let pad = |with: u8| key.iter().map(|byte| byte ^ with).collect::<Vec<u8>>();
+    let inner = Sha256::digest([&pad(0x36)[..], b"lines", &packet[41..]].concat());
+    let outer = Sha256::digest([&pad(0x5c)[..], &inner[..]].concat());
+    assert_eq!(packet[4..36], outer[..]);
+}
+
+#[test]
+fn every_figure_of_an_interval_comes_back_from_packets_of_a_set_size() {
+    let labels =
+        |zone: usize, class: usize| vec![format!("hall {zone}").into(), format!("class-{class}").into()];
+    let mut samples: Vec<Sample> = Vec::new();
+    for zone in 0..6 {
+        for class in 0..3 {
+            let value = Value::Count((zone * 10 + class) as u64);
+            samples.push(Sample { figure: Figure::ServiceAsked, labels: labels(zone, class), value });
+        }
+    }
+    samples.push(Sample { figure: Figure::Load, labels: vec![], value: Value::Gauge(f64::INFINITY) });
+    samples.push(Sample {
+        figure: Figure::TableWritten,
+        labels: vec![],
+        value: Value::Spread(9, [1.0, 2.0, 3.0, 4.0]),
+    });
+    let interval = Interval { number: 1, at: NOW, length: Micros(10_000_000), samples, mended: vec![] };
+    let lists: Vec<List> = interval.samples.iter().filter_map(|one| list("n.3", &interval, one)).collect();
+    assert_eq!(lists.len(), 19, "what is no number is left out");
+    assert_eq!(lists[0].plugin_instance, "hall_200.class-0");
+    assert_eq!((&*lists[0].kind_instance, &*lists[18].kind), ("service.asked", "wingfold_spread"));
+    for secrecy in &secrets() {
+        let packets = packets(&lists, 400, secrecy, &mut chance());
+        assert!(packets.len() > 2 && packets.iter().all(|packet| packet.len() <= 400), "{secrecy:?}");
+        let read: Vec<List> = packets
+            .iter()
+            .flat_map(|packet| read(&open(packet, &users()).unwrap().contents).unwrap())
+            .collect();
+        assert_eq!(read, lists);
+    }
+}
+
+#[test]
+fn a_machines_load_becomes_its_hosts_and_is_told_once() {
+    for (secured, secrecy) in [false, true, true].into_iter().zip(&secrets()) {
+        let mut intake = intake(secured);
+        let packet = |at: u64, value: f64| {
+            let list = load("db1", Micros(NOW.0 + at), value);
+            packets(&[list], PACKET, secrecy, &mut ChaCha8Rng::seed_from_u64(at)).remove(0)
+        };
+        let first = packet(0, 3.0);
+        let busy = intake.take(NOW, &first).unwrap();
+        assert_eq!(busy, [("s-1".to_string(), Load { busy: Some(0.75), ..Load::default() })]);
+        assert_eq!(intake.take(NOW, &first).unwrap_err(), Refused::Replayed, "{secrecy:?}");
+        let later = Micros(NOW.0 + 10_000_000);
+        assert_eq!(intake.take(later, &packet(10_000_000, 9.0)).unwrap()[0].1.busy, Some(1.0));
+        assert_eq!(
+            intake.take(later, &packet(9_000_000, 1.0)).unwrap_err(),
+            Refused::Replayed,
+            "an older one"
+        );
+        let hour = Micros(NOW.0 + 3_600_000_000);
+        assert_eq!(intake.take(hour, &packet(20_000_000, 1.0)).unwrap_err(), Refused::Replayed, "long ago");
+        assert_eq!(intake.take(NOW, &packet(60_000_000, 1.0)).unwrap_err(), Refused::Replayed, "ahead");
+        let other = packets(&[load("db2", NOW, 1.0)], PACKET, secrecy, &mut chance()).remove(0);
+        assert_eq!(intake.take(NOW, &other).unwrap_err(), Refused::Host);
+        assert_eq!((intake.taken, intake.refused[&Refused::Replayed]), (2, 4));
+    }
+}
+
+#[test]
+fn wrong_keys_users_and_changed_or_cut_packets_are_refused() {
+    let [plain, signed, encrypted] = secrets();
+    let one = |secrecy: &Secrecy| packets(&[load("db1", NOW, 1.0)], PACKET, secrecy, &mut chance()).remove(0);
+    assert_eq!(intake(true).take(NOW, &one(&plain)).unwrap_err(), Refused::Open);
+    for secrecy in [&signed, &encrypted] {
+        let packet = one(secrecy);
+        for at in 0..packet.len() {
+            let mut changed = packet.clone();
+            changed[at] ^= 0x20;
+            assert!(intake(true).take(NOW, &changed).is_err(), "{secrecy:?}, byte {at}");
+            assert!(intake(true).take(NOW, &packet[..at]).is_err(), "{secrecy:?}, cut at {at}");
+        }
+    }
+    let stranger = Secrecy::Signed("nobody".into(), "a key that is long".into());
+    assert_eq!(intake(true).take(NOW, &one(&stranger)).unwrap_err(), Refused::User);
+    let liar = Secrecy::Encrypted("other".into(), "a key that is long".into());
+    assert_eq!(intake(true).take(NOW, &one(&liar)).unwrap_err(), Refused::Key);
+    for (text, line) in [("a", 1), ("a: b\na: c", 2), (": x", 1), ("a:", 1)] {
+        assert_eq!(Users::read(text).unwrap_err(), line, "{text}");
+    }
+    assert!(!format!("{:?} {signed:?}", users()).contains("key that"), "keys are in no log");
+}
+
+#[test]
+fn what_is_remembered_is_bounded() {
+    let mut intake = intake(true);
+    let [_, signed, _] = secrets();
+    for at in 0..20_000u64 {
+        let now = Micros(NOW.0 + at * 1000);
+        let packet = packets(&[load("db1", now, 1.0)], PACKET, &signed, &mut chance()).remove(0);
+        intake.take(now, &packet).unwrap();
+    }
+    assert!(
+        intake.seen.len() <= MAX_REMEMBERED && intake.order.len() <= MAX_REMEMBERED && intake.last.len() == 1
+    );
+}
+
+#[test]
+fn a_million_random_packets_do_no_harm() {
+    let mut chance = chance();
+    let mut intake = intake(false);
+    let sound = packets(&[load("db1", NOW, 1.0)], PACKET, &Secrecy::Plain, &mut chance).remove(0);
+    let mut bytes = [0; 96];
+    for number in 0..1_000_000u32 {
+        let length = chance.next_u32() as usize % 96;
+        chance.fill_bytes(&mut bytes[..length]);
+        if number % 2 == 0 {
+            // Heads that look right reach further in.
+            let (at, from) = (length.min(60), (chance.next_u32() as usize) % sound.len());
+            let some = &sound[from..];
+            bytes[..some.len().min(at)].copy_from_slice(&some[..some.len().min(at)]);
+        }
+        let _ = intake.take(NOW, &bytes[..length]);
+    }
+    assert_eq!(intake.taken + intake.refused.values().sum::<u64>(), 1_000_000);
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read(names in prop::collection::vec("[a-z]{0,9}", 5), time in any::<u64>(), kinds in prop::collection::vec((0..4u8, any::<u64>()), 1..9)) {
+        let one = |(kind, bits): &(u8, u64)| match kind {
+            0 => TypedValue::Counter(*bits),
+            1 => TypedValue::Gauge(f64::from(*bits as u32)),
+            2 => TypedValue::Derive(*bits as i64),
+            _ => TypedValue::Absolute(*bits),
+        };
+        let list = List {
+            host: names[0].clone(), plugin: names[1].clone(), plugin_instance: names[2].clone(),
+            kind: names[3].clone(), kind_instance: names[4].clone(), time, interval: 7, values: kinds.iter().map(one).collect(),
+        };
+        let lists = vec![list.clone(), List { kind_instance: "z".into(), ..list }];
+        let packets = packets(&lists, PACKET, &Secrecy::Plain, &mut chance());
+        let back: Vec<List> = packets.iter().flat_map(|packet| read(packet).unwrap()).collect();
+        prop_assert_eq!(back, lists);
+    }
+}
--- a/crates/wingfold-settings/src/own.rs
+++ b/crates/wingfold-settings/src/own.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
-use wingfold_figures::collectd::{Mapped, Secrecy, Users, PACKET};
+use wingfold_figures::collectd::{MappedHost, Secrecy, Users, PACKET};
 use wingfold_figures::receiver::Rules;
 
 /// How lines of the log look.
@@ -132,7 +132,7 @@
     /// Who may send.
     pub users: Users,
     /// Machines of collectd, and the hosts they are.
-    pub map: BTreeMap<String, Mapped>,
+    pub map: BTreeMap<String, MappedHost>,
 }
 
 /// All receivers: what a reload may change.
@@ -475,7 +475,7 @@
         if machine.is_empty() {
             host.wrong("needs collectd's name of the machine: host \"db1\" { .. }");
         }
-        map.insert(machine, Mapped { host: is, cores });
+        map.insert(machine, MappedHost { host: is, cores });
     }
     if enabled {
         if listen.is_none() {
@@ -581,7 +581,10 @@
             figures.sinks.collectd[0].secrecy,
             Secrecy::Encrypted("lines".into(), "a long key".into())
         );
-        assert_eq!(figures.intake.as_ref().unwrap().map["db1"], Mapped { host: "s-1".into(), cores: 3.0 });
+        assert_eq!(
+            figures.intake.as_ref().unwrap().map["db1"],
+            MappedHost { host: "s-1".into(), cores: 3.0 }
+        );
         assert_eq!((own.memory(), own.descriptors()), (2 << 20, 6));
         let other = Own::read_with("f", &text.replace("10.0.0.8", "10.0.0.7"), secret).unwrap();
         assert_eq!(own.needs_restart(&other), Vec::<&str>::new(), "receivers change while it runs");
--- a/crates/wingfold/tests/figures.rs
+++ b/crates/wingfold/tests/figures.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::time::{Duration, Instant};
-use wingfold_figures::collectd::{self, One, Secrecy};
+use wingfold_figures::collectd::{self, Secrecy, TypedValue};
 use wingfold_standins::receivers::{self, Carbon, Manner, Packets};
 
 /// A folder of this test's own, gone when it ends.
@@ -300,8 +300,9 @@
         });
         bodies.flatten().collect::<Vec<collectd::List>>()
     };
-    let tries =
-        |list: &collectd::List| list.kind_instance == "tries.total" && list.values == [One::Absolute(9)];
+    let tries = |list: &collectd::List| {
+        list.kind_instance == "tries.total" && list.values == [TypedValue::Absolute(9)]
+    };
     until("the tries arrive", || lists().iter().any(tries));
     let list = lists().into_iter().find(tries).unwrap();
     assert_eq!(
@@ -344,7 +345,7 @@
             kind: "load".into(),
             time: collectd::high_resolution(wingfold_director::interface::Micros(now.as_micros() as u64)),
             interval: 10 << 30,
-            values: vec![One::Gauge(value), One::Gauge(0.0), One::Gauge(0.0)],
+            values: vec![TypedValue::Gauge(value), TypedValue::Gauge(0.0), TypedValue::Gauge(0.0)],
             ..collectd::List::default()
         };
         collectd::packets(&[list], 1452, secrecy, &mut chance).remove(0)
