Measure how long failed hosts keep their weight, in the benchmark of one director

Cause: the benchmark told what a failure costs and not how long the tables are wrong. It had no single host that fails unannounced and no region that is cut off.

Change: phases for one failed host and for a cut region, and in each phase with failures the weight that the failed hosts keep in all tables, turn by turn.

--- a/crates/wingfold-director/benches/ladder/fleet.rs
+++ b/crates/wingfold-director/benches/ladder/fleet.rs
@@ -18,6 +18,7 @@
     hosts: Vec<Entry>,
     names_given: u32,
     down: BTreeSet<usize>,
+    affected: BTreeSet<HostId>,
     /// Hosts that half of the sums are about, as proxies meet failing hosts again and again.
     focus: Vec<usize>,
     sums_told: usize,
@@ -32,6 +33,7 @@
             hosts: Vec::new(),
             names_given: 0,
             down: BTreeSet::new(),
+            affected: BTreeSet::new(),
             focus: Vec::new(),
             sums_told: 0,
             usage_told: 0,
@@ -82,12 +84,38 @@
         vec![entry.clone()]
     }
 
-    /// Every host of the first zone falls silent.
-    pub fn lose_zone(&mut self) {
-        let lost = sizes::zone(0);
-        let hosts = self.hosts.iter().enumerate().filter(|(_, entry)| entry.zone == lost);
+    /// Every host of the first `zones` zones fails, and proxies meet them again and again.
+    pub fn lose_zones(&mut self, zones: u32) {
+        let lost: Vec<ZoneId> = (0..zones).map(sizes::zone).collect();
+        let hosts = self.hosts.iter().enumerate().filter(|(_, entry)| lost.contains(&entry.zone));
         self.focus = hosts.map(|(index, _)| index).collect();
-        self.down = self.focus.iter().copied().collect();
+        self.lose(self.focus.iter().copied().collect());
+    }
+
+    /// One host fails; sums are about it as often as about any other.
+    pub fn lose_host(&mut self, index: usize) {
+        self.lose(BTreeSet::from([index]));
+    }
+
+    fn lose(&mut self, indices: BTreeSet<usize>) {
+        self.affected = indices.iter().map(|index| self.hosts[*index].host.clone()).collect();
+        self.down = indices;
+    }
+
+    /// The hosts that failed last.
+    pub fn affected(&self) -> &BTreeSet<HostId> {
+        &self.affected
+    }
+
+    /// A phase is over: which hosts failed in it is of no interest any more.
+    pub fn forget_failed(&mut self) {
+        self.affected.clear();
+    }
+
+    /// The hosts that are down answer again, as if nothing had happened to them.
+    pub fn recover(&mut self) {
+        self.focus.clear();
+        self.down.clear();
     }
 
     /// The list drops the hosts that are down.
@@ -96,8 +124,8 @@
         self.down.iter().map(gone).collect()
     }
 
-    /// The hosts that were down are back, started just now.
-    pub fn return_zone(&mut self, now: Micros) -> Vec<Entry> {
+    /// The hosts that are down are back, started just now.
+    pub fn restart_lost(&mut self, now: Micros) -> Vec<Entry> {
         self.focus.clear();
         let back = std::mem::take(&mut self.down);
         back.into_iter().map(|index| self.restarted(index, now)).collect()
--- a/crates/wingfold-director/benches/ladder/measure.rs
+++ b/crates/wingfold-director/benches/ladder/measure.rs
@@ -47,6 +47,8 @@
     pub actions: usize,
     /// Messages and bytes that follow.
     pub traffic: Traffic,
+    /// Weight of the hosts that fail in this phase after each turn, in all tables together, as a share of what it was.
+    pub failed_weight: Vec<f64>,
 }
 
 impl Phase {
@@ -59,9 +61,16 @@
             events: 0,
             actions: 0,
             traffic: Traffic::default(),
+            failed_weight: Vec::new(),
         }
     }
 
+    /// Seconds until the failed hosts hold no more than a share of their weight.
+    pub fn failed_below(&self, share: f64) -> Option<f64> {
+        let turn = self.failed_weight.iter().position(|weight| *weight <= share)?;
+        Some((turn + 1) as f64 / f64::from(TURNS_PER_S))
+    }
+
     /// Share of a core.
     pub fn core(&self) -> f64 {
         self.cpu_s / self.virtual_s
@@ -117,6 +126,7 @@
         mut script: impl FnMut(&mut Fleet, u32, Micros) -> Vec<Event>,
     ) -> Phase {
         let mut phase = Phase::new(name);
+        let mut weight_before = None;
         for turn in 0..seconds * TURNS_PER_S {
             let mut events = std::mem::take(&mut self.answers);
             events.push(Event::Timer(0));
@@ -124,8 +134,14 @@
             if reports == Reports::Arrive {
                 events.extend(self.fleet.reports());
             }
+            let failed = self.fleet.affected();
+            let before = *weight_before.get_or_insert_with(|| self.streams.weight_of(failed));
             self.turn(&events, &mut phase);
+            if before > 0.0 {
+                phase.failed_weight.push(self.streams.weight_of(self.fleet.affected()) / before);
+            }
         }
+        self.fleet.forget_failed();
         phase
     }
 
--- a/crates/wingfold-director/benches/ladder/output.rs
+++ b/crates/wingfold-director/benches/ladder/output.rs
@@ -36,7 +36,7 @@
 type Figure = fn(&Outcome) -> Option<f64>;
 
 /// Every figure that has a law.
-const FIGURES: [(&str, Figure); 20] = [
+const FIGURES: [(&str, Figure); 22] = [
     ("start, share of a core", |outcome| Some(outcome.phase("start")?.core())),
     ("start, worst turn ms", |outcome| Some(outcome.phase("start")?.worst_turn_ms)),
     ("reports, share of a core", |outcome| Some(outcome.phase("reports")?.core())),
@@ -49,6 +49,8 @@
     ("a day's churn, share of a core", Outcome::churn_core),
     ("zone lost, share of a core", |outcome| Some(outcome.phase("zone lost")?.core())),
     ("zone lost, worst turn ms", |outcome| Some(outcome.phase("zone lost")?.worst_turn_ms)),
+    ("region cut, share of a core", |outcome| Some(outcome.phase("region cut")?.core())),
+    ("region cut, worst turn ms", |outcome| Some(outcome.phase("region cut")?.worst_turn_ms)),
     ("release, share of a core", |outcome| Some(outcome.phase("release")?.core())),
     ("release, worst turn ms", |outcome| Some(outcome.phase("release")?.worst_turn_ms)),
     ("memory after the start, bytes", |outcome| Some(outcome.allocated_after_start as f64)),
@@ -92,6 +94,7 @@
         println!("\n## Variants\n");
         print_outcomes(&mut self.variants.iter());
         print_traffic(self);
+        print_failed(self);
         if let Some(records) = self.records {
             println!("\n## Bytes of a record\n\n| host | path | line | proxy |\n| --- | --- | --- | --- |");
             let RecordBytes { host, path, line, proxy, .. } = records;
@@ -107,7 +110,17 @@
 
 /// One row for each outcome: shares of a core in percent, and worst turns in milliseconds.
 fn print_outcomes(outcomes: &mut dyn Iterator<Item = &Outcome>) {
-    const PHASES: [&str; 7] = ["start", "reports", "rest", "replaced", "configured", "zone lost", "release"];
+    const PHASES: [&str; 9] = [
+        "start",
+        "reports",
+        "rest",
+        "replaced",
+        "configured",
+        "host lost",
+        "zone lost",
+        "region cut",
+        "release",
+    ];
     print!("| size | proxies x hosts x zones ");
     PHASES.iter().for_each(|name| print!("| {name} % / worst ms "));
     println!("| replaced ms each | configured ms each | day's churn % | MB | records |");
@@ -154,3 +167,24 @@
         }
     }
 }
+
+/// How fast failed hosts lose their weight in the tables, and what they hold at least.
+fn print_failed(report: &Report) {
+    println!("\n## Weight of failed hosts in all tables\n");
+    println!("| size | phase | at most half after s | at most a tenth after s | none after s | least |");
+    println!("|{}", " --- |".repeat(6));
+    for outcome in report.outcomes() {
+        for phase in outcome.phases.iter().filter(|phase| !phase.failed_weight.is_empty()) {
+            let after = |share| phase.failed_below(share).map_or("never".into(), |s| format!("{s:.2}"));
+            let least = phase.failed_weight.iter().copied().fold(f64::INFINITY, f64::min) + 0.0;
+            println!(
+                "| {} | {} | {} | {} | {} | {least:.2} |",
+                outcome.label,
+                phase.name,
+                after(0.5),
+                after(0.1),
+                after(0.0)
+            );
+        }
+    }
+}
--- a/crates/wingfold-director/benches/ladder/scenario.rs
+++ b/crates/wingfold-director/benches/ladder/scenario.rs
@@ -9,8 +9,12 @@
 
 /// Seconds in a day.
 const DAY_S: f64 = 86_400.0;
+/// Regions of the target.
+const REGIONS: u32 = 8;
 /// Single changes that are played to learn what one costs, one a second.
 const SINGLE_CHANGES: u32 = 4;
+/// A host that no single change is about.
+const UNTOUCHED_HOST: usize = 2 * SINGLE_CHANGES as usize;
 /// Seconds from a host's draining until the list drops it.
 const DRAINED_AFTER_S: u32 = 3;
 
@@ -23,7 +27,9 @@
     pub rest: u32,
     pub replaced: u32,
     pub configured: u32,
+    pub host_lost: u32,
     pub zone_lost: u32,
+    pub region_cut: u32,
     pub release: u32,
 }
 
@@ -36,7 +42,9 @@
         rest: 8,
         replaced: 16,
         configured: 8,
+        host_lost: 24,
         zone_lost: 24,
+        region_cut: 30,
         release: 24,
     };
     /// Every phase, for a look.
@@ -47,12 +55,22 @@
         rest: 2,
         replaced: 6,
         configured: 5,
+        host_lost: 4,
         zone_lost: 6,
+        region_cut: 6,
         release: 6,
     };
     /// The start and the steady state only.
-    pub const STEADY: Lengths =
-        Lengths { start: 10, replaced: 0, configured: 0, zone_lost: 0, release: 0, ..Lengths::FULL };
+    pub const STEADY: Lengths = Lengths {
+        start: 10,
+        replaced: 0,
+        configured: 0,
+        host_lost: 0,
+        zone_lost: 0,
+        region_cut: 0,
+        release: 0,
+        ..Lengths::FULL
+    };
     /// The same, for a look.
     pub const STEADY_QUICK: Lengths = Lengths { start: 4, settle: 1, reports: 2, rest: 2, ..Lengths::STEADY };
 }
@@ -103,13 +121,15 @@
     let (records, checkpoint_bytes) = (driver.director.records(), driver.director.checkpoint().len());
     let allocated_after_start = memory::of_director(&driver.director);
     type Play = fn(&mut Driver, u32) -> Phase;
-    let others: [(u32, Play); 7] = [
+    let others: [(u32, Play); 9] = [
         (lengths.settle, settle),
         (lengths.reports, reports),
         (lengths.rest, rest),
         (lengths.replaced, replaced),
         (lengths.configured, configured),
+        (lengths.host_lost, host_lost),
         (lengths.zone_lost, zone_lost),
+        (lengths.region_cut, region_cut),
         (lengths.release, release),
     ];
     for (seconds, play) in others.into_iter().filter(|(seconds, _)| *seconds > 0) {
@@ -175,16 +195,43 @@
     })
 }
 
+/// One host fails without a word of the list, and is back after two thirds of the phase.
+fn host_lost(driver: &mut Driver, seconds: u32) -> Phase {
+    let back = 2 * seconds * TURNS_PER_S / 3;
+    driver.play("host lost", seconds, Reports::Arrive, |fleet, turn, _| {
+        match turn {
+            0 => fleet.lose_host(UNTOUCHED_HOST),
+            at if at == back => fleet.recover(),
+            _ => {}
+        }
+        Vec::new()
+    })
+}
+
+/// One region of eight cannot be reached, which the list does not tell, and can be again after half of the phase.
+fn region_cut(driver: &mut Driver, seconds: u32) -> Phase {
+    let zones = driver.director.settings().zones.len() as u32;
+    let back = seconds * TURNS_PER_S / 2;
+    driver.play("region cut", seconds, Reports::Arrive, |fleet, turn, _| {
+        match turn {
+            0 => fleet.lose_zones(zones.div_ceil(REGIONS)),
+            at if at == back => fleet.recover(),
+            _ => {}
+        }
+        Vec::new()
+    })
+}
+
 /// A zone is lost, the list drops its hosts after a third of the phase, and they are back, cold, after two thirds.
 fn zone_lost(driver: &mut Driver, seconds: u32) -> Phase {
     let third = (seconds * TURNS_PER_S / 3).max(1);
     driver.play("zone lost", seconds, Reports::Arrive, |fleet, turn, now| {
         if turn == 0 {
-            fleet.lose_zone();
+            fleet.lose_zones(1);
         }
         match turn {
             at if at == third => changes(fleet.list_without_lost()),
-            at if at == 2 * third => changes(fleet.return_zone(now)),
+            at if at == 2 * third => changes(fleet.restart_lost(now)),
             _ => Vec::new(),
         }
     })
--- a/crates/wingfold-director/benches/ladder/traffic.rs
+++ b/crates/wingfold-director/benches/ladder/traffic.rs
@@ -126,6 +126,12 @@
         answer.mark.map(|mark| (mark, reached))
     }
 
+    /// The weight that all tables give some hosts.
+    pub fn weight_of(&self, hosts: &BTreeSet<HostId>) -> f64 {
+        let lines = self.tables.values().flat_map(|table| hosts.iter().filter_map(|host| table.get(host)));
+        lines.sum()
+    }
+
     fn apply(&mut self, action: &Action, answer: &mut Answer, traffic: &mut Traffic) {
         match action {
             Action::SetLine(table, host, weight) => {
