--- a/crates/wingfold-scale/src/cli.rs
+++ b/crates/wingfold-scale/src/cli.rs
@@ -1,21 +1,25 @@
 //! The command line.
 
 use crate::faults::Fault;
+use crate::ladder::{self, Ladder, Summary};
 use crate::limits::{LimitsError, Machine, Refusal};
 use crate::plan::{Plan, Step};
 use crate::report::Report;
 use crate::run::{Patience, Run, RunError};
 use crate::script::FaultPlan;
 use clap::error::{ContextKind, ErrorKind};
-use clap::{Args, CommandFactory, Parser, Subcommand};
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
 use std::future::Future;
 use std::io;
 use std::path::{Path, PathBuf};
+use std::pin::pin;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{signal, SignalKind};
 
+/// The whole ladder takes no longer than this.
+const LADDER_WITHIN: Duration = Duration::from_secs(600);
 /// Threads of the hollow parts; real directors need cores too.
 const WORKERS: usize = 3;
 
@@ -48,6 +52,8 @@
     Plan(RunOptions),
     /// Play one step of the ladder
     Run(RunOptions),
+    /// Play every step, and each fault on one of them
+    Ladder(LadderOptions),
 }
 
 /// Options of one run.
@@ -82,6 +88,48 @@
     pub json: Option<PathBuf>,
 }
 
+/// Options of the ladder.
+#[derive(Args, Clone, Debug)]
+pub struct LadderOptions {
+    /// Where reports (JSON) and tables go
+    #[arg(long, value_name = "DIR", default_value = "target/scale")]
+    pub out: PathBuf,
+    /// How long each fleet is watched once it is up
+    #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(5..=60))]
+    pub seconds: u64,
+    /// For the scripts and the hollow parts
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Real directors of each run
+    #[arg(long = "real", value_name = "N", default_value_t = 2)]
+    pub real_directors: usize,
+    /// The step that faults are played on
+    #[arg(long, value_enum, value_name = "STEP", default_value = "1/4")]
+    pub fault_step: Step,
+    /// How long a fault lasts
+    #[arg(long, value_name = "SECONDS", default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=30))]
+    pub fault_seconds: u64,
+    /// The program that a real director is
+    #[arg(long, value_name = "FILE", default_value = "target/release/wingfold")]
+    pub program: PathBuf,
+}
+
+impl LadderOptions {
+    /// The ladder that these options ask for: all faults that there are.
+    pub fn ladder(&self) -> Ladder {
+        let faults = Fault::value_variants().iter().copied().filter(|fault| *fault != Fault::None);
+        Ladder {
+            duration: Duration::from_secs(self.seconds),
+            seed: self.seed,
+            real_directors: self.real_directors,
+            program: self.program.clone(),
+            faults: faults.collect(),
+            fault_step: self.fault_step,
+            fault_lasts: Duration::from_secs(self.fault_seconds),
+        }
+    }
+}
+
 /// Why a command could not be carried out.
 #[derive(Debug, thiserror::Error)]
 pub enum CommandError {
@@ -99,6 +147,9 @@
         /// Why not.
         problem: io::Error,
     },
+    /// The ladder takes longer than it may.
+    #[error("the ladder was not over within {} s", LADDER_WITHIN.as_secs())]
+    LadderOverrun,
     /// The runtime or its signals cannot be had.
     #[error("the runtime cannot be started: {0}")]
     Runtime(io::Error),
@@ -164,6 +215,7 @@
     match command {
         Command::Plan(options) => state_plan(&options),
         Command::Run(options) => runtime()?.block_on(run(&options)),
+        Command::Ladder(options) => runtime()?.block_on(ladder(&options)),
     }
 }
 
@@ -181,6 +233,47 @@
     check_compared(&report)
 }
 
+/// Plays the ladder; what is measured is written after each run.
+async fn ladder(options: &LadderOptions) -> Result<(), CommandError> {
+    let (runs, begun) = (options.ladder().runs()?, Instant::now());
+    let output = |problem| CommandError::Output { path: options.out.clone(), problem };
+    std::fs::create_dir_all(&options.out).map_err(output)?;
+    let signals = interrupted().map_err(CommandError::Runtime)?;
+    let mut ended = pin!(async {
+        tokio::select! {
+            () = signals => {}
+            () = tokio::time::sleep(LADDER_WITHIN) => {}
+        }
+    });
+    let (mut reports, mut differ) = (Vec::new(), Vec::new());
+    for run in &runs {
+        println!("{}", run.plan);
+        let report = run.play(&mut ended).await.map_err(|error| match error {
+            RunError::Interrupted if begun.elapsed() >= LADDER_WITHIN => CommandError::LadderOverrun,
+            error => CommandError::Run(error),
+        })?;
+        println!("{report}");
+        write_json(&options.out.join(ladder::report_name(run) + ".json"), &report)?;
+        let differences = report.differences();
+        differ.extend(
+            differences.iter().map(|compared| format!("{} of step {}", compared.figure, report.step)),
+        );
+        reports.push(report);
+        write_tables(&options.out.join("scale-ladder.txt"), &reports)?;
+    }
+    println!("{}", Summary(&reports));
+    match differ.is_empty() {
+        true => Ok(()),
+        false => Err(CommandError::Differs(differ.join("; "))),
+    }
+}
+
+fn write_tables(path: &Path, reports: &[Report]) -> Result<(), CommandError> {
+    let tables: Vec<String> = reports.iter().map(Report::to_string).collect();
+    let text = format!("{}\n{}", Summary(reports), tables.join("\n"));
+    std::fs::write(path, text).map_err(|problem| CommandError::Output { path: path.into(), problem })
+}
+
 fn write_json(path: &Path, report: &Report) -> Result<(), CommandError> {
     let text = serde_json::to_string_pretty(report).expect("a report is plain JSON");
     std::fs::write(path, text + "\n").map_err(|problem| CommandError::Output { path: path.into(), problem })
--- a/crates/wingfold-scale/src/discovery.rs
+++ b/crates/wingfold-scale/src/discovery.rs
@@ -59,6 +59,8 @@
 struct Caller {
     traffic: Traffic,
     refused: Counter,
+    /// Calls that it gave up on before their answer.
+    given_up: Counter,
     /// The newest version written to it.
     version: AtomicU64,
     /// Its last call was refused.
@@ -94,6 +96,7 @@
         let caller = |_| Caller {
             traffic: Traffic::default(),
             refused: Counter::default(),
+            given_up: Counter::default(),
             version: AtomicU64::new(0),
             last_refused: AtomicBool::new(false),
             has_moved: AtomicBool::new(false),
@@ -176,6 +179,11 @@
         self.shared.callers[director].refused.get()
     }
 
+    /// Calls that one director gave up on before their answer.
+    pub fn given_up(&self, director: usize) -> u64 {
+        self.shared.callers[director].given_up.get()
+    }
+
     /// Whether the last call of a director was refused.
     pub fn was_refused(&self, director: usize) -> bool {
         self.shared.callers[director].last_refused.load(Ordering::Relaxed)
@@ -221,8 +229,11 @@
                 return;
             }
         }
-        // Nothing passes while it is cut off; then the connection is reset.
-        let _ = cut.wait_for(|cut| !*cut).await;
+        // Nothing passes while it is cut off; then the connection is reset, if it is still there.
+        tokio::select! {
+            _ = cut.wait_for(|cut| !*cut) => {}
+            () = connection.drained() => {}
+        }
         connection.reset();
     }
 
@@ -238,7 +249,10 @@
         let _ = self.calls.send(Call { after: request.number("after"), until, since: now, answer });
         let body = tokio::select! {
             body = answered => body.ok().flatten(),
-            () = connection.closed() => return Ok(false),
+            () = connection.closed() => {
+                caller.given_up.one();
+                return Ok(false);
+            }
         };
         let written = match &body {
             Some(body) => connection.answer(OK, &body.text).await?,
--- a/crates/wingfold-scale/src/fleet.rs
+++ b/crates/wingfold-scale/src/fleet.rs
@@ -46,13 +46,18 @@
     Over,
 }
 
+/// Orders that wait for less than this in a channel are the usual ones.
+const LITTLE_WAITS: Duration = Duration::from_millis(250);
+
 /// What passes between one real director and its clients.
-#[derive(Debug, Default)]
-pub struct ClientTraffic {
-    /// Collectors.
+#[derive(Debug)]
+pub struct Clients {
+    /// Counts of collectors.
     pub collectors: Arc<Traffic>,
-    /// Proxies.
+    /// Counts of proxies.
     pub proxies: Arc<Traffic>,
+    /// The channel to the proxies.
+    pub channel: Arc<Channel>,
 }
 
 /// A real director and what is counted of it.
@@ -63,7 +68,7 @@
     /// Time from its start until it answered.
     pub ready: Duration,
     /// Its clients.
-    pub clients: ClientTraffic,
+    pub clients: Clients,
 }
 
 /// A running fleet. Directors are numbered, real ones first.
@@ -242,6 +247,11 @@
         self.tables.iter().filter(is_bound).count()
     }
 
+    /// Whether the channels of all real directors are nearly empty.
+    pub fn channels_are_free(&self) -> bool {
+        self.real.iter().all(|real| real.clients.channel.backlog() < LITTLE_WAITS)
+    }
+
     /// Proxies of real directors.
     pub fn proxies(&self) -> usize {
         self.tables.len()
@@ -269,7 +279,9 @@
         let text = configuration(&self.sizes, director, self.seed, listen, discovery).to_string();
         let name = format!("n{director}");
         let process = RealDirector::start(program, &self.folder, name, listen, &text).await?;
-        self.real.push(RealPart { process, ready: Duration::ZERO, clients: ClientTraffic::default() });
+        let clients =
+            Clients { collectors: Arc::default(), proxies: Arc::default(), channel: self.channel() };
+        self.real.push(RealPart { process, ready: Duration::ZERO, clients });
         Ok(())
     }
 
@@ -300,13 +312,12 @@
     /// Has all clients of a real director dial it.
     fn dial_real(&mut self, director: usize) {
         let real = &self.real[director];
-        let (address, collectors, proxies) =
-            (real.process.listen, real.clients.collectors.clone(), real.clients.proxies.clone());
+        let (address, channel) = (real.process.listen, real.clients.channel.clone());
+        let (collectors, proxies) = (real.clients.collectors.clone(), real.clients.proxies.clone());
         for zone in 0..self.sizes.zones {
             let collector = self.collector(address, zone, collectors.clone());
             self.tasks.spawn(collector.run());
         }
-        let channel = self.channel();
         for place in 0..self.sizes.proxies_per_director {
             let mut proxy = self.proxy(director, address, place, &channel);
             (proxy.traffic, proxy.departures) = (proxies.clone(), Some(self.departures.clone()));
--- a/crates/wingfold-scale/src/hollow/host.rs
+++ b/crates/wingfold-scale/src/hollow/host.rs
@@ -107,8 +107,11 @@
         traffic.messages.one();
         traffic.bytes_in.add(request.bytes);
         if *silent.borrow() {
-            // Nothing is answered any more on this connection; it is reset once the zone is back.
-            let _ = silent.wait_for(|silent| !*silent).await;
+            // Nothing is answered any more on this connection; it is reset once the zone is back, if it is still there.
+            tokio::select! {
+                _ = silent.wait_for(|silent| !*silent) => {}
+                () = connection.drained() => {}
+            }
             connection.reset();
             return Ok(());
         }
--- a/crates/wingfold-scale/src/hollow/proxy.rs
+++ b/crates/wingfold-scale/src/hollow/proxy.rs
@@ -65,6 +65,12 @@
         Channel { lines_per_second: lines_per_second as f64, free_at: Mutex::new(Instant::now()) }
     }
 
+    /// How long what has arrived still waits in it.
+    pub fn backlog(&self) -> Duration {
+        let free_at = *self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
+        free_at.saturating_duration_since(Instant::now())
+    }
+
     /// Takes in lines that have arrived; gives the time at which the proxy has applied them.
     fn pass(&self, lines: usize) -> Instant {
         let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/wingfold-scale/src/http.rs
+++ b/crates/wingfold-scale/src/http.rs
@@ -90,6 +90,11 @@
         let _ = self.reader.fill_buf().await;
     }
 
+    /// Passes over whatever arrives until the other end closes.
+    pub async fn drained(&mut self) {
+        let _ = tokio::io::copy(&mut self.reader, &mut tokio::io::sink()).await;
+    }
+
     /// Ends the connection by a reset, so that no address stays taken.
     pub fn reset(self) {
         if let Ok(stream) = self.reader.into_inner().reunite(self.writer) {
--- a/crates/wingfold-scale/src/lib.rs
+++ b/crates/wingfold-scale/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod hollow;
 pub mod http;
+pub mod ladder;
 pub mod limits;
 pub mod list;
 pub mod measure;
--- a/crates/wingfold-scale/src/report.rs
+++ b/crates/wingfold-scale/src/report.rs
@@ -24,8 +24,10 @@
     pub ready_ms: f64,
     /// What passed between it and discovery.
     pub discovery: TrafficCount,
-    /// Calls at discovery that were refused.
+    /// Its calls at discovery that were refused.
     pub refused: u64,
+    /// Its calls at discovery that it gave up on.
+    pub given_up: u64,
     /// What passed between it and the collectors; messages are those to the director.
     pub collectors: TrafficCount,
     /// What passed between it and its proxies.
@@ -52,6 +54,8 @@
     pub traffic: TrafficCount,
     /// Calls refused: they waited too long, or discovery was down.
     pub refused: u64,
+    /// Calls that their director gave up on before the answer.
+    pub given_up: u64,
 }
 
 /// Times until a change was with all that it concerns.
@@ -203,10 +207,11 @@
         let (discovery, probes, hollow) = (&self.discovery, &self.probes, &self.hollow_process);
         writeln!(
             f,
-            "\ndiscovery: {:.0} calls a second, {:.1} KiB/s out, {} refused",
+            "\ndiscovery: {:.0} calls a second, {:.1} KiB/s out, {} refused, {} given up on",
             discovery.traffic.messages as f64 / self.watched_s,
             discovery.traffic.bytes_out as f64 / KIB / self.watched_s,
-            discovery.refused
+            discovery.refused,
+            discovery.given_up
         )?;
         writeln!(
             f,
--- a/crates/wingfold-scale/src/run.rs
+++ b/crates/wingfold-scale/src/run.rs
@@ -110,6 +110,7 @@
     real: Vec<RealBaseline>,
     all_discovery: TrafficCount,
     refused: u64,
+    given_up: u64,
     probes: Vec<u64>,
     real_probes: TrafficCount,
     hollow_probes: TrafficCount,
@@ -122,6 +123,7 @@
     usage: Usage,
     discovery: TrafficCount,
     refused: u64,
+    given_up: u64,
     collectors: TrafficCount,
     proxies: TrafficCount,
 }
@@ -167,7 +169,7 @@
         loop {
             fleet.check()?;
             let (behind, bound) = (fleet.behind(), fleet.bound_proxies());
-            if behind.is_empty() && bound == fleet.proxies() {
+            if behind.is_empty() && bound == fleet.proxies() && fleet.channels_are_free() {
                 return Ok(());
             }
             if begun.elapsed() > self.patience.start {
@@ -205,6 +207,7 @@
                 usage: part.process.measure().map_err(FleetError::from)?,
                 discovery: fleet.discovery.traffic(director).count(),
                 refused: fleet.discovery.refused(director),
+                given_up: fleet.discovery.given_up(director),
                 collectors: part.clients.collectors.count(),
                 proxies: part.clients.proxies.count(),
             });
@@ -213,7 +216,8 @@
             at: Instant::now(),
             real: each,
             all_discovery: fleet.discovery_traffic(directors.clone()),
-            refused: directors.map(|director| fleet.discovery.refused(director)).sum(),
+            refused: directors.clone().map(|director| fleet.discovery.refused(director)).sum(),
+            given_up: directors.map(|director| fleet.discovery.given_up(director)).sum(),
             probes: fleet.hosts.probes.iter().map(|probes| probes.get()).collect(),
             real_probes: fleet.hosts.real.count(),
             hollow_probes: fleet.hosts.hollow.count(),
@@ -263,8 +267,10 @@
             real,
             discovery: DiscoveryFigures {
                 traffic: fleet.discovery_traffic(directors.clone()).since(&baseline.all_discovery),
-                refused: directors.map(|director| fleet.discovery.refused(director)).sum::<u64>()
+                refused: directors.clone().map(|director| fleet.discovery.refused(director)).sum::<u64>()
                     - baseline.refused,
+                given_up: directors.map(|director| fleet.discovery.given_up(director)).sum::<u64>()
+                    - baseline.given_up,
             },
             probes: probe_figures(fleet, baseline, watched_s),
             delays: delay_figures(fleet),
@@ -300,6 +306,7 @@
                 ready_ms: part.ready.as_secs_f64() * 1e3,
                 discovery: fleet.discovery.traffic(director).count().since(&before.discovery),
                 refused: fleet.discovery.refused(director) - before.refused,
+                given_up: fleet.discovery.given_up(director) - before.given_up,
                 collectors: part.clients.collectors.count().since(&before.collectors),
                 proxies: part.clients.proxies.count().since(&before.proxies),
             });
--- a/crates/wingfold-scale/tests/parts.rs
+++ b/crates/wingfold-scale/tests/parts.rs
@@ -1,12 +1,15 @@
 //! Parts of a run that need no real director: texts of /proc, spreads, lists, tables, comparisons, discovery.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use wingfold_scale::compare::{compare, Kind};
 use wingfold_scale::counters::TrafficCount;
 use wingfold_scale::delays::Delays;
+use wingfold_scale::deployment::host_zone;
 use wingfold_scale::discovery::Discovery;
+use wingfold_scale::hollow::host::{Host, Hosts};
 use wingfold_scale::hollow::proxy::Tables;
 use wingfold_scale::http::{Answer, Connection};
 use wingfold_scale::list::{HostList, HostState};
@@ -171,3 +174,23 @@
     assert!(call.await.unwrap().is_err());
     assert_eq!(get(&mut dial(address).await, "/v1/endpoints").await.status, 200);
 }
+
+#[tokio::test]
+async fn a_host_counts_probes_and_in_a_silent_zone_answers_none() {
+    let hosts = Arc::new(Hosts::new(&sizes()));
+    let host = Host::listen(LOOPBACK, 3, &sizes(), hosts.clone()).await.unwrap();
+    let address = host.address().unwrap();
+    tokio::spawn(host.run());
+    assert_eq!(get(&mut dial(address).await, "/status/load").await.status, 200);
+    let zone = host_zone(&sizes(), 3);
+    hosts.set_silent(zone, true);
+    let mut connection = dial(address).await;
+    let mut probe = tokio::spawn(async move { connection.get("/status/load", "host").await });
+    let silent = tokio::time::timeout(Duration::from_millis(200), &mut probe).await;
+    assert!(silent.is_err(), "nothing is said in a silent zone");
+    hosts.set_silent(zone, false);
+    assert!(probe.await.unwrap().is_err());
+    assert_eq!(get(&mut dial(address).await, "/status/load").await.status, 200);
+    let of_real = hosts.real.count().messages;
+    assert_eq!((hosts.probes[3].get(), of_real, hosts.hollow.count().messages), (3, 3, 0));
+}
--- a/crates/wingfold-scale/tests/plan.rs
+++ b/crates/wingfold-scale/tests/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 use wingfold_scale::cli;
+use wingfold_scale::ladder::report_name;
 use wingfold_scale::limits::{memory_bytes, open_files, Machine, Refusal};
 use wingfold_scale::plan::{Plan, Sizes, Step};
 
@@ -83,3 +84,17 @@
     }
     assert!(refusal("play").contains("plan"));
 }
+
+#[test]
+fn the_ladder_plays_every_step_and_then_every_fault_on_one() {
+    let words = ["wingfold-scale", "ladder", "--fault-step", "1/8"].map(String::from);
+    let cli::Command::Ladder(options) = cli::parse(words).unwrap().command else { panic!("the ladder") };
+    let runs = options.ladder().runs().unwrap();
+    let names: Vec<String> = runs.iter().map(report_name).collect();
+    let steps = ["scale-1-16", "scale-1-8", "scale-1-4", "scale-1-2", "scale-1"];
+    let faults = ["discovery-down", "zone-silent", "restart-quarter", "region-cut"];
+    let faults = faults.map(|fault| format!("scale-1-8-{fault}"));
+    assert_eq!(names, [&steps.map(String::from)[..], &faults[..]].concat());
+    let of_too_many = cli::LadderOptions { real_directors: 30, ..options };
+    assert!(of_too_many.ladder().runs().is_err(), "before any is played");
+}
--- a/crates/wingfold/tests/scale.rs
+++ b/crates/wingfold/tests/scale.rs
@@ -83,6 +83,16 @@
     assert_eq!(processes_of(&run.program), Vec::<u32>::new());
 }
 
+#[tokio::test]
+async fn a_quarter_of_the_directors_restarts_and_all_have_the_list_again() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let run = smallest("restarted", 4, Fault::RestartQuarter);
+    let report = run.play(pending()).await.unwrap();
+    let (hollow, restarted) = (report.sizes.hollow_directors(), 7);
+    assert_eq!(report.delays.start.count, hollow + restarted);
+    assert_eq!(processes_of(&run.program), Vec::<u32>::new());
+}
+
 #[tokio::test]
 async fn a_real_director_that_dies_is_named_and_nothing_is_left_running() {
     let _alone = ONE_AT_A_TIME.lock().await;
