Let the benchmark of one director cut a region off for as long as asked

Cause: the target has regions that lose each other for an hour, and the phase with a cut region was too short for it. It also began while the zone that was lost before it was still cold, so that its weights were measured against half of the usual ones.

--- a/crates/wingfold-director/benches/ladder/main.rs
+++ b/crates/wingfold-director/benches/ladder/main.rs
@@ -6,6 +6,7 @@
 //! - `--quick`: fewer seconds in each phase
 //! - `--steps 16,8,4`: only these steps of the ladder, as denominators of the target
 //! - `--parts ladder,dimensions,variants,records`: only these parts
+//! - `--region-cut SECONDS`: length of the phase with a cut region; half of it the region is cut off
 //! - `--json FILE`: everything as JSON as well
 
 mod fit;
@@ -48,6 +49,7 @@
     quick: bool,
     parts: Vec<Part>,
     steps: Vec<u32>,
+    region_cut: Option<u32>,
     json: Option<String>,
 }
 
@@ -58,6 +60,7 @@
             quick: false,
             parts: Part::ALL.map(|part| part.0).to_vec(),
             steps: STEPS.to_vec(),
+            region_cut: None,
             json: None,
         };
         while let Some(argument) = arguments.next() {
@@ -67,6 +70,7 @@
                 "--quick" => options.quick = true,
                 "--parts" => options.parts = parse_parts(&value()?)?,
                 "--json" => options.json = Some(value()?),
+                "--region-cut" => options.region_cut = Some(parse_seconds(&value()?)?),
                 "--steps" => options.steps = parse_steps(&value()?)?,
                 _ => return Err(format!("unknown option {argument}")),
             }
@@ -75,11 +79,8 @@
     }
 
     fn lengths(&self) -> Lengths {
-        if self.quick {
-            Lengths::QUICK
-        } else {
-            Lengths::FULL
-        }
+        let lengths = if self.quick { Lengths::QUICK } else { Lengths::FULL };
+        Lengths { region_cut: self.region_cut.unwrap_or(lengths.region_cut), ..lengths }
     }
 
     fn steady(&self) -> Lengths {
@@ -91,6 +92,10 @@
     }
 }
 
+fn parse_seconds(text: &str) -> Result<u32, String> {
+    text.parse().map_err(|_| format!("no number of seconds: {text}"))
+}
+
 fn parse_steps(text: &str) -> Result<Vec<u32>, String> {
     let step = |part: &str| part.parse().ok().filter(|step| *step > 0).ok_or(format!("no step: {part}"));
     text.split(',').map(step).collect()
--- a/crates/wingfold-director/benches/ladder/measure.rs
+++ b/crates/wingfold-director/benches/ladder/measure.rs
@@ -71,6 +71,14 @@
         Some((turn + 1) as f64 / f64::from(TURNS_PER_S))
     }
 
+    /// Seconds until the hosts that had failed hold a share of their weight again, after they held least.
+    pub fn recovered_to(&self, share: f64) -> Option<f64> {
+        let least = self.failed_weight.iter().copied().fold(f64::INFINITY, f64::min);
+        let lowest = self.failed_weight.iter().position(|weight| *weight <= least)?;
+        let turn = self.failed_weight.iter().skip(lowest).position(|weight| *weight >= share)?;
+        Some((lowest + turn + 1) as f64 / f64::from(TURNS_PER_S))
+    }
+
     /// Share of a core.
     pub fn core(&self) -> f64 {
         self.cpu_s / self.virtual_s
--- a/crates/wingfold-director/benches/ladder/output.rs
+++ b/crates/wingfold-director/benches/ladder/output.rs
@@ -171,19 +171,20 @@
 /// How fast failed hosts lose their weight in the tables, and what they hold at least.
 fn print_failed(report: &Report) {
     println!("\n## Weight of failed hosts in all tables\n");
-    println!("| size | phase | at most half after s | at most a tenth after s | none after s | least |");
-    println!("|{}", " --- |".repeat(6));
+    println!("| size | phase | at most half after s | at most a tenth after s | none after s | least | nine tenths again after s |");
+    println!("|{}", " --- |".repeat(7));
     for outcome in report.outcomes() {
         for phase in outcome.phases.iter().filter(|phase| !phase.failed_weight.is_empty()) {
             let after = |share| phase.failed_below(share).map_or("never".into(), |s| format!("{s:.2}"));
             let least = phase.failed_weight.iter().copied().fold(f64::INFINITY, f64::min) + 0.0;
             println!(
-                "| {} | {} | {} | {} | {} | {least:.2} |",
+                "| {} | {} | {} | {} | {} | {least:.2} | {} |",
                 outcome.label,
                 phase.name,
                 after(0.5),
                 after(0.1),
-                after(0.0)
+                after(0.0),
+                phase.recovered_to(0.9).map_or("never".into(), |s| format!("{s:.2}")),
             );
         }
     }
--- a/crates/wingfold-director/benches/ladder/scenario.rs
+++ b/crates/wingfold-director/benches/ladder/scenario.rs
@@ -29,6 +29,7 @@
     pub configured: u32,
     pub host_lost: u32,
     pub zone_lost: u32,
+    pub recovery: u32,
     pub region_cut: u32,
     pub release: u32,
 }
@@ -44,6 +45,7 @@
         configured: 8,
         host_lost: 24,
         zone_lost: 24,
+        recovery: 24,
         region_cut: 30,
         release: 24,
     };
@@ -57,6 +59,7 @@
         configured: 5,
         host_lost: 4,
         zone_lost: 6,
+        recovery: 2,
         region_cut: 6,
         release: 6,
     };
@@ -67,6 +70,7 @@
         configured: 0,
         host_lost: 0,
         zone_lost: 0,
+        recovery: 0,
         region_cut: 0,
         release: 0,
         ..Lengths::FULL
@@ -121,7 +125,7 @@
     let (records, checkpoint_bytes) = (driver.director.records(), driver.director.checkpoint().len());
     let allocated_after_start = memory::of_director(&driver.director);
     type Play = fn(&mut Driver, u32) -> Phase;
-    let others: [(u32, Play); 9] = [
+    let others: [(u32, Play); 10] = [
         (lengths.settle, settle),
         (lengths.reports, reports),
         (lengths.rest, rest),
@@ -129,6 +133,7 @@
         (lengths.configured, configured),
         (lengths.host_lost, host_lost),
         (lengths.zone_lost, zone_lost),
+        (lengths.recovery, recovery),
         (lengths.region_cut, region_cut),
         (lengths.release, release),
     ];
@@ -171,6 +176,11 @@
     driver.play("rest", seconds, Reports::None, |_, _, _| Vec::new())
 }
 
+/// Hosts that have just started become warm.
+fn recovery(driver: &mut Driver, seconds: u32) -> Phase {
+    driver.play("recovery", seconds, Reports::Arrive, |_, _, _| Vec::new())
+}
+
 /// Single machines are replaced; the rest of the phase is what follows.
 fn replaced(driver: &mut Driver, seconds: u32) -> Phase {
     let mut drained: Vec<(u32, Entry)> = Vec::new();
