Split wingfold's own settings by block: log, capture, figures, graphite, collectd, secrets

Each block has a module of its own now, with its types beside the code that reads them; checks that several receivers share (addresses, queue and times, files of keys) are modules too, and the tests stand in a file of their own. Functions are short: the capture's target, its dump, a receiver's addresses and the machines that collectd tells of are read by one function each. Memory and descriptors are counted where their types are. Public names are as they were, since the node uses them.

Tests: assertions are unchanged; only paths and imports differ.

--- /dev/null
+++ b/crates/wingfold-settings/src/own/address.rs
@@ -0,0 +1,15 @@
+//! Addresses with a port.
+
+use crate::hcl::Block;
+
+/// Checks that a text is an address as `host:port`; the host may be a name.
+pub(super) fn check_address(block: &Block, key: &'static str, text: &str) {
+    let port = match text.rsplit_once(':') {
+        Some((host, port)) if !host.is_empty() => port.parse::<u16>().ok(),
+        _ => None,
+    };
+    if port.is_none_or(|port| port == 0) {
+        let example = "like 10.0.0.9:2003 or graphite.example:2003";
+        block.wrong_at(key, None, format!("`{text}` is no address with a port, {example}"));
+    }
+}
--- /dev/null
+++ b/crates/wingfold-settings/src/own/collectd.rs
@@ -0,0 +1,136 @@
+//! The `collectd` blocks, which receive figures, and the `collectd_in` block, which takes loads in.
+
+use super::address::check_address;
+use super::receiver::rules;
+use super::secret::{keys, ReadSecret};
+use crate::hcl::Block;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use wingfold_figures::collectd::{MappedHost, Secrecy, Users, PACKET};
+use wingfold_figures::receiver::Rules;
+
+/// Stands in for an address that is missing or wrong, which is told.
+const DEFAULT_LISTEN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 25826);
+
+/// A `collectd` block.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Collectd {
+    /// Its name.
+    pub name: String,
+    /// `host:port`.
+    pub address: String,
+    /// Bytes of a packet.
+    pub packet: usize,
+    /// How packets are secured.
+    pub secrecy: Secrecy,
+    /// Queue, times and pauses.
+    pub rules: Rules,
+}
+
+/// A `collectd_in` block.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CollectdIn {
+    /// Where packets arrive.
+    pub listen: SocketAddr,
+    /// Packets must be signed or encrypted.
+    pub secured: bool,
+    /// Who may send.
+    pub users: Users,
+    /// Machines of collectd, and the hosts they are.
+    pub map: BTreeMap<String, MappedHost>,
+}
+
+/// Reads a `collectd` block.
+pub(super) fn read_collectd(block: &Block, interval: Duration, read_secret: &ReadSecret) -> Collectd {
+    let address = block.need("address", block.text("address"), "unset:1".into());
+    check_address(block, "address", &address);
+    let secrecy = secrecy(block, read_secret);
+    Collectd {
+        name: block.label.clone().unwrap_or_else(|| "collectd".into()),
+        address,
+        packet: block.whole("packet", 512..=65_000).unwrap_or(PACKET as u64) as usize,
+        secrecy,
+        rules: rules(block, interval),
+    }
+}
+
+fn secrecy(block: &Block, read_secret: &ReadSecret) -> Secrecy {
+    let security = block.word("security", &["none", "sign", "encrypt"]).unwrap_or("none");
+    match (security, block.text("user"), block.text("keys")) {
+        ("none", None, None) => Secrecy::Plain,
+        ("none", ..) => {
+            block.wrong("`user` and `keys` are given, and `security` is none: nothing would be secured");
+            Secrecy::Plain
+        }
+        (_, Some(user), Some(file)) => {
+            let key = key_of(block, &user, &file, read_secret).unwrap_or_default();
+            match security {
+                "sign" => Secrecy::Signed(user, key),
+                _ => Secrecy::Encrypted(user, key),
+            }
+        }
+        _ => {
+            block.wrong(format!("`security` is {security}: `user` and `keys` (a file) are needed"));
+            Secrecy::Plain
+        }
+    }
+}
+
+fn key_of(block: &Block, user: &str, file: &str, read_secret: &ReadSecret) -> Option<String> {
+    let users = keys(block, file, read_secret)?;
+    let key = users.key(user).map(str::to_string);
+    if key.is_none() {
+        block.wrong_at("keys", None, format!("`{file}` has no key of `{user}`"));
+    }
+    key
+}
+
+/// Reads the `collectd_in` block; `None`: it is off.
+pub(super) fn read_collectd_in(block: &Block, read_secret: &ReadSecret) -> Option<CollectdIn> {
+    let enabled = block.flag("enabled").unwrap_or(false);
+    let listen = listen(block);
+    let secured = block.word("security", &["none", "required"]) != Some("none");
+    let users = block.text("keys").and_then(|file| keys(block, &file, read_secret));
+    let map = mapped_hosts(block);
+    if !enabled {
+        return None;
+    }
+    if listen.is_none() {
+        block.wrong_at("listen", None, "is missing");
+    }
+    if secured && users.is_none() {
+        block.wrong(
+            "`security` is required: `keys` (a file of `user: key` lines) is needed, or `security = \"none\"`",
+        );
+    }
+    if map.is_empty() {
+        block.wrong("maps no machine to a host: nothing it hears could be used");
+    }
+    let listen = listen.unwrap_or(DEFAULT_LISTEN);
+    Some(CollectdIn { listen, secured, users: users.unwrap_or_default(), map })
+}
+
+fn listen(block: &Block) -> Option<SocketAddr> {
+    let text = block.text("listen")?;
+    let address = text.parse().unwrap_or_else(|_| {
+        let problem = format!("`{text}` is no address with a port, like 10.0.0.4:25826");
+        block.wrong_at("listen", None, problem);
+        DEFAULT_LISTEN
+    });
+    Some(address)
+}
+
+fn mapped_hosts(block: &Block) -> BTreeMap<String, MappedHost> {
+    let mut map = BTreeMap::new();
+    for block in block.blocks("host") {
+        let host = block.need("is", block.text("is"), String::new());
+        let cores = block.need("cores", block.number("cores", 0.01..=4096.0), 1.0);
+        let machine = block.label.clone().unwrap_or_default();
+        if machine.is_empty() {
+            block.wrong("needs collectd's name of the machine: host \"db1\" { .. }");
+        }
+        map.insert(machine, MappedHost { host, cores });
+    }
+    map
+}
--- /dev/null
+++ b/crates/wingfold-settings/src/own/tests.rs
@@ -0,0 +1,127 @@
+//! wingfold's own settings: defaults, faults, and what needs a restart.
+
+use super::*;
+use wingfold_figures::collectd::{MappedHost, Secrecy};
+use wingfold_figures::receiver::Rules;
+
+#[test]
+fn nothing_said_is_everything_off() {
+    assert_eq!(Own::read("f", "").unwrap(), Own::default());
+    let off = Own::read("f", "capture {\n enabled = false\n directory = \"/d\"\n}\n").unwrap();
+    assert_eq!((off.capture, off.log), (None, Log::default()));
+}
+
+#[test]
+fn the_file_that_is_shipped_is_read_and_switches_nothing_on() {
+    let text = include_str!("../../../../deploy/wingfold.hcl");
+    let types = include_str!("../../../../deploy/wingfold.types.db");
+    assert_eq!(types, wingfold_figures::collectd::TYPES_DB);
+    assert_eq!(Own::read("deploy/wingfold.hcl", text).unwrap(), Own::default());
+    // Every key in it, switched on, is one that is known.
+    let on = |line: &str| {
+        let block = |text: &str| text.starts_with("  ") || text == "}" || text.ends_with('{');
+        let key = line.strip_prefix("  # ").filter(|key| key.contains(" = ")).map(|key| format!("  {key}"));
+        let key = key.or(line.strip_prefix("# ").filter(|text| block(text)).map(str::to_string));
+        key.unwrap_or(line.to_string()) + "\n"
+    };
+    let text: String = text.lines().map(on).collect();
+    let text = text.replace("enabled = false", "enabled = true").replace("  memory_mb", "  # memory_mb");
+    let text = text.replace("security = \"none\"", "security = \"sign\"");
+    let own = Own::read_with("on", &text, |_| Ok("wingfold: a key".into()))
+        .unwrap_or_else(|faults| panic!("{faults}"));
+    let figures = own.figures.as_ref().unwrap();
+    assert_eq!((figures.sinks.graphite.len(), figures.sinks.collectd.len()), (1, 1));
+    assert_eq!(
+        figures.sinks.graphite[0].rules,
+        Rules::default(),
+        "the defaults that are shown are the real ones"
+    );
+    assert!(figures.intake.is_some());
+    let capture = own.capture.unwrap();
+    assert_eq!(capture.target, Target::Folder("/var/lib/wingfold/capture".into()));
+    assert_eq!((capture.keep, capture.keep_bytes, capture.queue), (144, 1 << 30, 4 << 20));
+}
+
+#[test]
+fn all_faults_are_told_at_once_with_their_places() {
+    let text = "log {\n  form = \"xml\"\n  levle = \"info\"\n}\ncapture {\n  enabled = 1\n  keep = 1\n  flush = \"2h\"\n  \
+                segment_mb = 3.5\n}\ncaptrue {\n  x = 1\n}\n";
+    let faults = Own::read("w.hcl", text).unwrap_err().to_string();
+    let expected = [
+        "w.hcl:2:3: key `log.form`: one of \"text\", \"json\" is expected, `\"xml\"` was found",
+        "w.hcl:3:3: key `log.levle`: is not known; did you mean `level`?",
+        "w.hcl:6:3: key `capture.enabled`: true or false is expected, `1` was found",
+        "w.hcl:7:3: key `capture.keep`: a whole number from 2 to 100000 is expected, `1` was found",
+        "w.hcl:8:3: key `capture.flush`: a time from \"50ms\" to \"1m\", such as \"250ms\", \"10s\" or \"5m\" is \
+         expected, `\"2h\"` was found",
+        "w.hcl:9:3: key `capture.segment_mb`: a whole number from 1 to 256 is expected, `3.5` was found",
+        "w.hcl:11:1: key `captrue`: is not known; did you mean `capture`?",
+    ];
+    assert_eq!(faults.lines().collect::<Vec<_>>(), expected);
+}
+
+#[test]
+fn what_contradicts_itself_is_told_by_its_block() {
+    let told = |body: &str| Own::read("f", &format!("capture {{\n{body}\n}}\n")).unwrap_err().to_string();
+    assert!(told("enabled = true").contains("needs `directory`"));
+    assert!(told("directory = \"/d\"\nmemory_mb = 8").contains("exclude each other"));
+    assert!(told("dump_token = \"short\"\ndump_directory = \"/d\"").contains("16 at least"));
+    assert!(told("dump_token = \"0123456789abcdef\"").contains("key `capture.dump_directory`"));
+    assert!(told("keep = 5\nkeep = 6").starts_with("f:3:1: "), "a key that stands twice");
+    let whole = |text: &str| Own::read("f", text).unwrap_err().to_string();
+    assert!(whole("capture {\n").starts_with("f:1:11: "), "cut short: {}", whole("capture {\n"));
+    assert_eq!(whole("log {}\nlog {}\n"), "f:2:1: key `log`: stands twice");
+}
+
+#[test]
+fn receivers_are_read_with_their_keys_and_count_as_memory_and_descriptors() {
+    let text = "figures {\n  enabled = true\n  interval = \"5s\"\n}\ngraphite \"halls\" {\n  addresses = [\"10.0.0.9:2003\", \
+                \"g.example:2003\"]\n  deal = \"hash\"\n  protocol = \"pickle\"\n  queue_kb = 512\n}\ncollectd \"all\" {\n  \
+                address = \"10.0.0.8:25826\"\n  security = \"encrypt\"\n  user = \"lines\"\n  keys = \"k\"\n}\ncollectd_in {\n  enabled = true\n  \
+                listen = \"10.0.0.4:25826\"\n  keys = \"k\"\n  host \"db1\" {\n    is = \"s-1\"\n    cores = 3\n  }\n}\n";
+    let secret =
+        |path: &str| if path == "k" { Ok("lines: a long key".to_string()) } else { Err("no".into()) };
+    let own = Own::read_with("f", text, secret).unwrap();
+    let figures = own.figures.clone().unwrap();
+    assert_eq!(figures.sinks.graphite[0].rules.write.0, 5_000_000, "an interval's length");
+    assert_eq!(figures.sinks.collectd[0].secrecy, Secrecy::Encrypted("lines".into(), "a long key".into()));
+    assert_eq!(figures.intake.as_ref().unwrap().map["db1"], MappedHost { host: "s-1".into(), cores: 3.0 });
+    assert_eq!((own.memory(), own.descriptors()), (2 << 20, 6));
+    let other = Own::read_with("f", &text.replace("10.0.0.8", "10.0.0.7"), secret).unwrap();
+    assert_eq!(own.needs_restart(&other), Vec::<&str>::new(), "receivers change while it runs");
+    let other = Own::read_with("f", &text.replace("\"5s\"", "\"6s\""), secret).unwrap();
+    assert_eq!(own.needs_restart(&other), ["figures"]);
+    let wrong =
+        |from: &str, to: &str| Own::read_with("f", &text.replace(from, to), secret).unwrap_err().to_string();
+    assert!(wrong("g.example:2003", "g.example").contains("`g.example` is no address with a port"));
+    assert!(wrong("\"g.example:2003\"", "\"10.0.0.9:2003\"").contains("names a receiver twice"));
+    assert!(wrong("user = \"lines\"", "user = \"nobody\"").contains("`k` has no key of `nobody`"));
+    assert!(wrong("keys = \"k\"", "keys = \"x\"").contains("key `collectd[all].keys`: no"));
+    assert!(wrong("security = \"encrypt\"", "security = \"none\"").contains("nothing would be secured"));
+    assert!(wrong("is = \"s-1\"", "").contains("key `collectd_in.host[db1].is`: is missing"));
+    assert!(wrong("\"all\"", "\"halls\"").contains("two receivers are called `halls`"));
+    assert!(wrong("\"5s\"", "\"1500ms\"").contains("whole seconds"));
+}
+
+#[test]
+fn keys_that_others_may_read_are_refused() {
+    use std::os::unix::fs::PermissionsExt;
+    let path = std::env::temp_dir().join(format!("wingfold-keys-{}", std::process::id()));
+    std::fs::write(&path, "u: a key\n").unwrap();
+    let with = |mode: u32| {
+        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(mode)).unwrap();
+        secret::read(path.to_str().unwrap())
+    };
+    assert!(with(0o644).unwrap_err().contains("may be read by others (mode 644)"));
+    assert!(with(0o640).is_err());
+    assert_eq!(with(0o600).unwrap(), "u: a key\n");
+    std::fs::remove_file(&path).unwrap();
+    assert!(secret::read(path.to_str().unwrap()).is_err());
+}
+
+#[test]
+fn a_ring_counts_as_memory_and_holds_several_segments() {
+    let own = Own::read("f", "capture {\n enabled = true\n memory_mb = 8\n queue_kb = 1024\n}\n").unwrap();
+    assert_eq!(own.memory(), 9 << 20);
+    assert_eq!(own.capture.unwrap().segment_bytes, 2 << 20);
+}
