--- a/crates/wingfold-scale/src/discovery.rs
+++ b/crates/wingfold-scale/src/discovery.rs
@@ -248,11 +248,13 @@
         let until = now + wait.min(LONGEST_WATCH);
         let _ = self.calls.send(Call { after: request.number("after"), until, since: now, answer });
         let body = tokio::select! {
-            body = answered => body.ok().flatten(),
+            // An answer to one who has gone is not written, nor booked as told.
+            biased;
             () = connection.closed() => {
                 caller.given_up.one();
                 return Ok(false);
             }
+            body = answered => body.ok().flatten(),
         };
         let written = match &body {
             Some(body) => connection.answer(OK, &body.text).await?,
--- a/crates/wingfold-scale/src/lib.rs
+++ b/crates/wingfold-scale/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod deployment;
 pub mod discovery;
 pub mod faults;
+mod figures;
 pub mod fleet;
 pub mod hollow;
 pub mod http;
--- a/crates/wingfold-scale/src/script.rs
+++ b/crates/wingfold-scale/src/script.rs
@@ -75,9 +75,11 @@
         }
     }
 
-    /// Plays it until discovery moves.
-    pub async fn play_until_move(&mut self, fleet: &mut Fleet) -> Result<(), FleetError> {
-        self.play_until(self.duration.mul_f64(MOVE_AT), fleet).await
+    /// Plays it for as long as no director waits for discovery: until it moves or goes down. After that chance has the
+    /// greatest part in who gets a list when.
+    pub async fn play_steady(&mut self, fleet: &mut Fleet) -> Result<(), FleetError> {
+        let steady = if self.fault.fault == Fault::DiscoveryDown { FAULT_AT } else { MOVE_AT };
+        self.play_until(self.duration.mul_f64(steady), fleet).await
     }
 
     /// Plays it to its end.
--- a/crates/wingfold-scale/tests/parts.rs
+++ b/crates/wingfold-scale/tests/parts.rs
@@ -163,6 +163,26 @@
     assert_eq!((discovery.refused(0), discovery.was_refused(0)), (2, false));
 }
 
+#[tokio::test]
+async fn a_call_whose_director_has_gone_is_counted_and_not_booked_as_told() {
+    let (discovery, connection, address) = served().await;
+    let mut watch = Box::pin(async move {
+        let mut connection = connection;
+        get(&mut connection, "/v1/endpoints?after=1&wait_ms=60000").await
+    });
+    while discovery.traffic(0).count().messages < 1 {
+        let _ = tokio::time::timeout(Duration::from_millis(1), &mut watch).await;
+    }
+    drop(watch);
+    while discovery.given_up(0) < 1 {
+        tokio::task::yield_now().await;
+    }
+    discovery.change(&[(3, HostState::Leaving, 0)]);
+    assert_eq!(discovery.written_version(0), 0);
+    assert_eq!(get(&mut dial(address).await, "/v1/endpoints?after=2&wait_ms=0").await.status, 200);
+    assert_eq!((discovery.given_up(0), discovery.refused(0)), (1, 0));
+}
+
 #[tokio::test]
 async fn a_director_that_is_cut_off_gets_no_answer_and_then_a_reset() {
     let (discovery, mut connection, address) = served().await;
