Add a lost rack to the benchmark of one director, and warm hosts before each loss

Cause: the target names racks and switches, which lay unmeasured between one host and a zone; a zone's loss also has to begin with warm hosts once another comes before it.

Change: a phase in which a third of a zone fails, is dropped from the list after 8 s and returns cold after 16, and a phase of recovery after it.

--- a/crates/wingfold-director/benches/ladder/fleet.rs
+++ b/crates/wingfold-director/benches/ladder/fleet.rs
@@ -12,6 +12,9 @@
 /// Tries in one line of sums.
 const TRIES: u64 = 5;
 
+/// Racks, or switches, that the hosts of a zone share.
+const RACKS_PER_ZONE: usize = 3;
+
 /// The hosts and proxies around one director.
 pub struct Fleet {
     size: Size,
@@ -86,10 +89,23 @@
 
     /// Every host of the first `zones` zones fails, and proxies meet them again and again.
     pub fn lose_zones(&mut self, zones: u32) {
-        let lost: Vec<ZoneId> = (0..zones).map(sizes::zone).collect();
-        let hosts = self.hosts.iter().enumerate().filter(|(_, entry)| lost.contains(&entry.zone));
-        self.focus = hosts.map(|(index, _)| index).collect();
-        self.lose(self.focus.iter().copied().collect());
+        self.lose_together(self.hosts_of(zones));
+    }
+
+    /// A third of the first zone's hosts fails, and proxies meet them again and again.
+    pub fn lose_rack(&mut self) {
+        self.lose_together(self.hosts_of(1).into_iter().step_by(RACKS_PER_ZONE).collect());
+    }
+
+    fn hosts_of(&self, zones: u32) -> Vec<usize> {
+        let names: Vec<ZoneId> = (0..zones).map(sizes::zone).collect();
+        let hosts = self.hosts.iter().enumerate().filter(|(_, entry)| names.contains(&entry.zone));
+        hosts.map(|(index, _)| index).collect()
+    }
+
+    fn lose_together(&mut self, indices: Vec<usize>) {
+        self.lose(indices.iter().copied().collect());
+        self.focus = indices;
     }
 
     /// One host fails; sums are about it as often as about any other.
--- a/crates/wingfold-director/benches/ladder/output.rs
+++ b/crates/wingfold-director/benches/ladder/output.rs
@@ -110,13 +110,14 @@
 
 /// One row for each outcome: shares of a core in percent, and worst turns in milliseconds.
 fn print_outcomes(outcomes: &mut dyn Iterator<Item = &Outcome>) {
-    const PHASES: [&str; 9] = [
+    const PHASES: [&str; 10] = [
         "start",
         "reports",
         "rest",
         "replaced",
         "configured",
         "host lost",
+        "rack lost",
         "zone lost",
         "region cut",
         "release",
--- a/crates/wingfold-director/benches/ladder/scenario.rs
+++ b/crates/wingfold-director/benches/ladder/scenario.rs
@@ -1,6 +1,6 @@
 //! What a director of one size is put through, phase by phase.
 
-use crate::fleet::TURNS_PER_S;
+use crate::fleet::{Fleet, TURNS_PER_S};
 use crate::measure::{Driver, Phase, Reports};
 use crate::memory;
 use crate::sizes::{Size, CONFIGURED_A_DAY, REPLACED_A_DAY, TARGET};
@@ -28,6 +28,7 @@
     pub replaced: u32,
     pub configured: u32,
     pub host_lost: u32,
+    pub rack_lost: u32,
     pub zone_lost: u32,
     pub recovery: u32,
     pub region_cut: u32,
@@ -44,6 +45,7 @@
         replaced: 16,
         configured: 8,
         host_lost: 24,
+        rack_lost: 24,
         zone_lost: 24,
         recovery: 24,
         region_cut: 30,
@@ -58,6 +60,7 @@
         replaced: 6,
         configured: 5,
         host_lost: 4,
+        rack_lost: 6,
         zone_lost: 6,
         recovery: 2,
         region_cut: 6,
@@ -69,6 +72,7 @@
         replaced: 0,
         configured: 0,
         host_lost: 0,
+        rack_lost: 0,
         zone_lost: 0,
         recovery: 0,
         region_cut: 0,
@@ -125,13 +129,15 @@
     let (records, checkpoint_bytes) = (driver.director.records(), driver.director.checkpoint().len());
     let allocated_after_start = memory::of_director(&driver.director);
     type Play = fn(&mut Driver, u32) -> Phase;
-    let others: [(u32, Play); 10] = [
+    let others: [(u32, Play); 12] = [
         (lengths.settle, settle),
         (lengths.reports, reports),
         (lengths.rest, rest),
         (lengths.replaced, replaced),
         (lengths.configured, configured),
         (lengths.host_lost, host_lost),
+        (lengths.rack_lost, rack_lost),
+        (lengths.recovery, recovery),
         (lengths.zone_lost, zone_lost),
         (lengths.recovery, recovery),
         (lengths.region_cut, region_cut),
@@ -232,12 +238,22 @@
     })
 }
 
-/// A zone is lost, the list drops its hosts after a third of the phase, and they are back, cold, after two thirds.
+/// A rack is lost; see [`lost_and_listed`].
+fn rack_lost(driver: &mut Driver, seconds: u32) -> Phase {
+    lost_and_listed(driver, "rack lost", seconds, Fleet::lose_rack)
+}
+
+/// A zone is lost; see [`lost_and_listed`].
 fn zone_lost(driver: &mut Driver, seconds: u32) -> Phase {
+    lost_and_listed(driver, "zone lost", seconds, |fleet| fleet.lose_zones(1))
+}
+
+/// Hosts are lost, the list drops them after a third of the phase, and they are back, cold, after two thirds.
+fn lost_and_listed(driver: &mut Driver, name: &'static str, seconds: u32, lose: fn(&mut Fleet)) -> Phase {
     let third = (seconds * TURNS_PER_S / 3).max(1);
-    driver.play("zone lost", seconds, Reports::Arrive, |fleet, turn, now| {
+    driver.play(name, seconds, Reports::Arrive, |fleet, turn, now| {
         if turn == 0 {
-            fleet.lose_zones(1);
+            lose(fleet);
         }
         match turn {
             at if at == third => changes(fleet.list_without_lost()),
