Split the lab command into short functions and move its test to a file of its own

Lab::done did all of it in one function of 47 lines: reading, the progress bar, the run, the tables and the exit code. Checking, running, the bar and showing results are functions of their own now. The inline test stands in lab/tests.rs, unchanged.

--- a/crates/wingfold/src/lab.rs
+++ b/crates/wingfold/src/lab.rs
@@ -5,6 +5,7 @@
 use clap::Subcommand;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::IsTerminal;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use wingfold_lab::experiment::Experiment;
 use wingfold_lab::{report, RunResult, Scenario};
@@ -42,7 +43,7 @@
     Scenario::read(&name, &text).map_err(|faults| faults.to_string())
 }
 
-fn seeds(text: &str) -> Result<std::ops::RangeInclusive<u64>, String> {
+fn seeds(text: &str) -> Result<RangeInclusive<u64>, String> {
     let wrong = || format!("`{text}` is no range of seeds: 1..20 or 7 is expected");
     let (first, last) = text.split_once("..").unwrap_or((text, text));
     let number = |text: &str| text.trim_start_matches('=').parse::<u64>().map_err(|_| wrong());
@@ -57,69 +58,81 @@
 impl Lab {
     /// Does it.
     pub fn run(self) -> Outcome {
-        self.done().unwrap_or_else(|problem| {
+        let done = match self {
+            Lab::Run { scenario, seeds, out, capture, log } => {
+                run_experiment(&scenario, &seeds, out.as_deref(), capture.as_deref(), log)
+            }
+            Lab::Check { scenarios } => Ok(check(&scenarios)),
+        };
+        done.unwrap_or_else(|problem| {
             eprintln!("{problem}");
             Outcome::Unusable
         })
     }
+}
 
-    fn done(self) -> Result<Outcome, String> {
-        let (scenario, range, out, capture, log) = match self {
-            Lab::Run { scenario, seeds, out, capture, log } => (scenario, seeds, out, capture, log),
-            Lab::Check { scenarios } => {
-                let faults: Vec<String> = scenarios.iter().filter_map(|path| read(path).err()).collect();
-                faults.iter().for_each(|fault| eprintln!("{fault}"));
-                return Ok(if faults.is_empty() { Outcome::Good } else { Outcome::Unusable });
-            }
-        };
-        let (scenario, range) = (read(&scenario)?, seeds(&range)?);
-        let bar = match std::io::stderr().is_terminal() {
-            false => ProgressBar::hidden(),
-            true => {
-                let style = ProgressStyle::with_template("{bar:40} seed {pos}/{len} {eta}");
-                let style = style.unwrap_or_else(|_| ProgressStyle::default_bar());
-                ProgressBar::new(range.end() - range.start() + 1).with_style(style)
-            }
-        };
-        let progress = |seed: u64, result: &RunResult| {
-            bar.inc(1);
-            for line in result.log.iter().filter(|_| log) {
-                println!("seed {seed} director {} {}: {}", line.director, say::time(line.at), line.text);
-            }
-        };
-        let experiment = Experiment::run(scenario, range, capture.as_deref(), progress);
-        let experiment = experiment.map_err(|problem| problem.to_string())?;
-        bar.finish_and_clear();
-        match &out {
-            None => print!("{}", report::markdown(&experiment)),
-            Some(folder) => {
-                report::write(&experiment, folder)
-                    .map_err(|problem| format!("{}: {problem}", folder.display()))?;
-                let service = experiment.mean(|result| result.service());
-                println!(
-                    "service {:.4} ± {:.4}; tables and chart in {}",
-                    service.mean,
-                    service.half_width,
-                    folder.display()
-                );
-            }
-        }
-        let broken = experiment.broken();
-        for (seed, what) in &broken {
-            eprintln!("seed {seed} broke: {}", what.join("; "));
-        }
-        Ok(if broken.is_empty() { Outcome::Good } else { Outcome::Different })
+fn check(scenarios: &[PathBuf]) -> Outcome {
+    let faults: Vec<String> = scenarios.iter().filter_map(|path| read(path).err()).collect();
+    faults.iter().for_each(|fault| eprintln!("{fault}"));
+    if faults.is_empty() {
+        Outcome::Good
+    } else {
+        Outcome::Unusable
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+fn run_experiment(
+    path: &Path,
+    seeds_text: &str,
+    out: Option<&Path>,
+    capture: Option<&Path>,
+    log: bool,
+) -> Result<Outcome, String> {
+    let (scenario, range) = (read(path)?, seeds(seeds_text)?);
+    let bar = progress_bar(&range);
+    let progress = |seed: u64, result: &RunResult| {
+        bar.inc(1);
+        for line in result.log.iter().filter(|_| log) {
+            println!("seed {seed} director {} {}: {}", line.director, say::time(line.at), line.text);
+        }
+    };
+    let experiment = Experiment::run(scenario, range, capture, progress);
+    let experiment = experiment.map_err(|problem| problem.to_string())?;
+    bar.finish_and_clear();
+    show(&experiment, out)?;
+    let broken = experiment.broken();
+    for (seed, what) in &broken {
+        eprintln!("seed {seed} broke: {}", what.join("; "));
+    }
+    Ok(if broken.is_empty() { Outcome::Good } else { Outcome::Different })
+}
 
-    #[test]
-    fn seeds_are_read_with_both_ends() {
-        assert_eq!(seeds("1..20").unwrap(), 1..=20);
-        assert_eq!(seeds("7").unwrap(), 7..=7);
-        assert!(seeds("9..3").is_err() && seeds("x").is_err() && seeds("").is_err());
+/// A bar on a terminal, nothing elsewhere.
+fn progress_bar(seeds: &RangeInclusive<u64>) -> ProgressBar {
+    if !std::io::stderr().is_terminal() {
+        return ProgressBar::hidden();
     }
+    let style = ProgressStyle::with_template("{bar:40} seed {pos}/{len} {eta}");
+    let style = style.unwrap_or_else(|_| ProgressStyle::default_bar());
+    ProgressBar::new(seeds.end() - seeds.start() + 1).with_style(style)
+}
+
+/// Writes tables and chart into a folder, or prints the tables.
+fn show(experiment: &Experiment, folder: Option<&Path>) -> Result<(), String> {
+    let Some(folder) = folder else {
+        print!("{}", report::markdown(experiment));
+        return Ok(());
+    };
+    report::write(experiment, folder).map_err(|problem| format!("{}: {problem}", folder.display()))?;
+    let service = experiment.mean(|result| result.service());
+    println!(
+        "service {:.4} ± {:.4}; tables and chart in {}",
+        service.mean,
+        service.half_width,
+        folder.display()
+    );
+    Ok(())
 }
+
+#[cfg(test)]
+mod tests;
