Give marks up by the pace measured between answers, and later while answers come

Cause: a mark was given up when its lines would have left at a quarter of the told pace, 2.1 s at least after the last answer.

Change: the pace is measured from answer to answer over at least twice the longest way, only while the channel is never empty, from what must have left by then. A mark's lines must have had time to leave at a quarter of that pace, 15 s at most. While answers come and a proxy is still there that can answer, it is given up 6 s after that and the way, otherwise 1 s as before. Each mark given up doubles the measured pace, so a channel that nobody answers any more goes on. Marks are ordered as before. A proxy that has left or joined anew since the mark was sent cannot answer. New fields have defaults: older checkpoints are read.

--- a/crates/wingfold-director/src/checkpoint.rs
+++ b/crates/wingfold-director/src/checkpoint.rs
@@ -148,11 +148,11 @@
         };
         let ids: BTreeSet<u32> = tables().map(|table| table.id.0).collect();
         let count = tables().count();
-        let clocks =
-            [self.now, self.next_tick, self.next_round, self.next_level, self.channel.heard_at, self.ask_at];
+        let channel = [self.channel.heard_at, self.channel.measured_at];
+        let clocks = [self.now, self.next_tick, self.next_round, self.next_level, self.ask_at];
         let started = self.fleet.values().all(|host| host.entry.started.is_none_or(|at| time(&at)));
         let sound = [
-            (clocks.iter().all(time) && started, "a time beyond all bounds"),
+            (clocks.iter().chain(&channel).all(time) && started, "a time beyond all bounds"),
             (
                 self.groups == crate::state::Group::all(&self.set.classes),
                 "groups of classes that are not the settings'",
--- a/crates/wingfold-director/src/policy.rs
+++ b/crates/wingfold-director/src/policy.rs
@@ -72,12 +72,14 @@
 /// failure none is ordered, not even where it would be safe: the second try comes after the aim has passed,
 /// and doubles the work just when hosts are short of it.
 const TRY_AGAIN: Retry = Retry::OnProof;
-/// What waits in the channel is counted by proxies' words, since slow days are not announced: answers are
-/// marked once so much went unmarked. Where no word comes any more a mark's lines count as gone when the
-/// channel would have sent them at this share of its usual pace, and a second after they would have arrived.
+/// What waits in the channel is counted by proxies' answers to marks; one is ordered once so much went
+/// without. A mark is given up once its lines would have left at this share of the pace last measured, in so
+/// long at most, and then some time later: more while answers come, since single ones may be lost.
 const UNMARKED: f64 = 0.02;
 const CHANNEL_PACE: f64 = 0.25;
-const WORDLESS_S: f64 = 1.0;
+const LEAVE_S: f64 = 15.0;
+const ANSWER_S: f64 = 6.0;
+const NO_ANSWER_S: f64 = 1.0;
 /// Orders are held back here, where urgent ones overtake, and not in the channel, where none does: what it
 /// sends in this time, beyond the way, may wait there, however much the rules allow. And what must have
 /// waited before a message for its time to tell the pace: less is lost in the chance of its way.
@@ -211,8 +213,8 @@
             }
             Event::Applied(proxy, mark, took) => {
                 // What waited before it, over its time without the way, is the channel's pace.
-                let usual = self.set.lines_per_s;
-                let waited = self.channel.answered(self.now, *proxy, *mark);
+                let (usual, span) = (self.set.lines_per_s, 2.0 * self.set.push_delay_max.secs());
+                let waited = self.channel.answered(self.now, *proxy, *mark, span);
                 let took = (took.secs() - self.set.push_delay.secs()).max(0.0);
                 if let Some(lines) = waited.filter(|lines| *lines > PACE_S * self.pace()) {
                     self.channel.pace = self.pace() + 0.1 * ((lines / took).min(usual) - self.pace());
@@ -731,11 +733,9 @@
     }
 
     fn reconcile(&mut self, zones: &mut ByZone<Zone>, out: &mut Vec<Action>) {
-        // Marks that nobody answers: all who had them are gone, or their words are lost.
-        let due = self.set.push_delay_max.secs() + WORDLESS_S;
-        let due = |open: f64| due + open / (CHANNEL_PACE * self.set.lines_per_s);
-        let silent = |at: Micros, open: f64| self.now.since(self.channel.heard_at.max(at)) > due(open);
-        if self.channel.marks.front().is_some_and(|mark| silent(mark.at, mark.open())) {
+        let wait = |expected| self.set.push_delay_max.secs() + if expected { ANSWER_S } else { NO_ANSWER_S };
+        let silence = self.channel.silence(self.now, &self.proxies, self.set.lines_per_s);
+        if silence.is_some_and(|s| s.secs > wait(s.expected) + (s.leave_s / CHANNEL_PACE).min(LEAVE_S)) {
             self.channel.give_up(self.now);
         }
         // Who was sent nothing for longest goes first: where the channel is short none must wait for ever.
--- a/crates/wingfold-director/tests/channel.rs
+++ b/crates/wingfold-director/tests/channel.rs
@@ -209,8 +209,11 @@
 
 #[test]
 fn no_fewer_lines_are_counted_than_wait_at_a_crawl_where_three_in_ten_words_are_lost() {
-    // Seed 6 of those that break it: 6, 11, 18, 23, 24, 25, 32 and 35 of 1 to 40.
-    rough_day(6, 0.3, |now| if (8.0..30.0).contains(&now) { 18.0 } else { 600.0 });
+    // Guards against: a mark given up while its lines wait, after two or three answers in a row were lost. These seeds of
+    // 1 to 40 broke it.
+    for seed in [6, 11, 18, 23, 24, 25, 32, 35] {
+        rough_day(seed, 0.3, |now| if (8.0..30.0).contains(&now) { 18.0 } else { 600.0 });
+    }
 }
 
 #[test]
@@ -234,6 +237,51 @@
     assert_eq!(channel.bound.len(), 300, "all are bound in the end");
 }
 
+#[test]
+fn a_slow_channel_whose_answers_are_all_lost_from_then_on_does_not_stop_the_director() {
+    let mut channel = Channel::new(fleet_settings(), 1, 0.0);
+    channel.call(&[Event::List(ListKind::Remembered, fleet(60))]);
+    channel.call(&(0..300).map(join).collect::<Vec<_>>());
+    for _ in 0..80 {
+        let events = channel.pass(18.0);
+        channel.call(&events);
+    }
+    channel.lost = 1.0;
+    while channel.now < 200.0 && channel.bound.len() < 300 {
+        let events = channel.pass(600.0);
+        channel.call(&events);
+    }
+    assert_eq!(channel.bound.len(), 300, "all are bound in the end");
+}
+
+/// Seconds until fewer lines are counted, after some were answered, a crowd was sent its tables and no more answers come.
+fn first_given_up_after(events: &[Event]) -> f64 {
+    let mut channel = Channel::new(fleet_settings(), 1, 0.0);
+    channel.call(&[Event::List(ListKind::Remembered, fleet(60)), join(40)]);
+    for _ in 0..8 {
+        let events = channel.pass(600.0);
+        channel.call(&events);
+    }
+    channel.lost = 1.0;
+    channel.call(&(0..40).map(join).collect::<Vec<_>>());
+    channel.call(events);
+    let (begun, counted) = (channel.now, channel.director.fleet_view().queued);
+    assert!(counted > 300.0, "{counted} lines are counted");
+    while channel.director.fleet_view().queued >= counted {
+        assert!(channel.now < 60.0, "{counted} lines are still counted");
+        channel.pass(600.0);
+        channel.call(&[Event::Timer(0)]);
+    }
+    channel.now - begun
+}
+
+#[test]
+fn lines_of_proxies_that_have_left_are_given_up_sooner_than_those_that_may_be_answered() {
+    let stayed = first_given_up_after(&[]);
+    let left = first_given_up_after(&(0..=40).map(|id| Event::Left(ProxyId(id))).collect::<Vec<_>>());
+    assert!(left <= stayed - 4.0, "{left} s after they left, {stayed} s where they stayed");
+}
+
 #[test]
 fn messages_to_a_proxy_are_limited_across_its_streams() {
     let mut set = settings();
