Scatter the parts of slots opened between two layouts, so that joiners do not share hosts

`deal` lays arcs anew 8 s after the last time at the earliest. Until then new slots kept start 0 and length 0, or, laid while empty, short arcs side by side: 11 tables with a quarter of the director's traffic there held the same three hosts. One of them lost 238 of 267 tries; what they refused came to the cold host beside them, which had 8 requests in hand at 19.1 s and 33 at 20.1 s. Each table had kept its own bound for the cold host.

Change: `arcs` (state.rs) lays arcs end to end in the order of their numbers' multiples of the golden ratio, so that slots opened one after the other lie far apart, and `deal` (policy.rs) gives a slot that has no arc yet its own at once.

--- a/crates/wingfold-director/src/policy.rs
+++ b/crates/wingfold-director/src/policy.rs
@@ -608,7 +608,8 @@
     /// Deals a zone's hosts to its slots. Each has every host, the design's table, unless a proxy sends so
     /// little that most connections would close before they are used again: handshakes then eat the hosts'
     /// capacity, and each slot gets an arc of the ring, as long as its part of the work, at listed weight and
-    /// all others as spares. Arcs cover the ring evenly; short ones start elsewhere with each director.
+    /// all others as spares. Arcs cover the ring evenly; short ones start elsewhere with each director. Slots
+    /// opened one after the other lie far apart: joiners fill those, and would crowd onto the same few hosts.
     pub(crate) fn deal(&mut self, name: &ZoneId, zone: &mut Zone) {
         let (count, total) = self.proxies_of(name).fold((0.0, 1e-9), |(n, all), p| (n + 1.0, all + p.1.rate));
         let (hosts, known) = zone.near_hosts();
@@ -634,25 +635,22 @@
         let even = (wanted / hosts * slots).round().max(1.0) / slots;
         let part = [even, tight, 1.0][if whole { 2 } else { usize::from(zone.uses > USES) }];
         let work = self.work(name, zone, 0.1 * total / slots);
-        let (all, mut end) = (work.iter().sum::<f64>(), f64::from(self.set.me) / tables);
-        let span = |work: &f64| {
-            end += work / all;
-            (end - work / all, (part * work / all * slots).max(LEAST_HOSTS / hosts).min(1.0))
-        };
-        let spans: Vec<(f64, f64)> = work.iter().map(span).collect();
-        let moved = |slot: &Slot, to: &(f64, f64)| {
+        let (all, begin) = (work.iter().sum::<f64>(), f64::from(self.set.me) / tables);
+        let length = |share: f64| (part * share * slots).max(LEAST_HOSTS / hosts).min(1.0);
+        let spans = arcs(&work, begin).into_iter().map(|(start, share)| (start, length(share)));
+        let moved = |(slot, to): (&Slot, (f64, f64))| {
             f64::max((slot.start - to.0).abs(), (slot.length - to.1).abs()) > SHIFT * slot.length
         };
         // Not with every joiner: in a crowd of them that would cost more than their tables.
         let rests = zone.laid.is_some_and(|(uses, work, at)| {
             uses == zone.uses && all < work * (1.0 + 2.0 * SHIFT) && self.now.since(at) < COOLDOWN_S
         });
-        if !rests && zone.slots.iter().zip(&spans).any(|(slot, to)| moved(slot, to)) {
-            zone.laid = Some((zone.uses, all, self.now));
-            for (slot, (start, length)) in zone.slots.iter_mut().zip(spans) {
-                (slot.start, slot.length) = (start, length);
-                slot.tables.iter_mut().for_each(|t| t.full = 0.0);
-            }
+        let anew = !rests && zone.slots.iter().zip(spans.clone()).any(moved);
+        zone.laid = if anew { Some((zone.uses, all, self.now)) } else { zone.laid };
+        // A slot opened meanwhile gets its arc at once: its table costs nothing, as no proxy holds it yet.
+        for (slot, span) in zone.slots.iter_mut().zip(spans).filter(|(slot, _)| anew || slot.length == 0.0) {
+            (slot.start, slot.length) = span;
+            slot.tables.iter_mut().for_each(|t| t.full = 0.0);
         }
     }
 
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -508,6 +508,23 @@
     }
 }
 
+/// Arcs of the ring of hosts for slots of some work, laid end to end from `begin` on: the start of each, and its share
+/// of the work. They lie in the order of their numbers' multiples of the golden ratio: arcs of slots opened one after
+/// the other are scattered evenly, and another slot changes nothing in the order of those before.
+pub(crate) fn arcs(work: &[f64], begin: f64) -> Vec<(f64, f64)> {
+    const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
+    let place = |slot: &usize| (*slot as f64 * GOLDEN_RATIO).fract();
+    let mut order: Vec<usize> = (0..work.len()).collect();
+    order.sort_by(|a, b| place(a).total_cmp(&place(b)));
+    let (all, mut start) = (work.iter().sum::<f64>(), begin);
+    let mut arcs = vec![(begin, 0.0); work.len()];
+    for slot in order {
+        arcs[slot] = (start, work[slot] / all);
+        start += work[slot] / all;
+    }
+    arcs
+}
+
 /// The middle one of some values.
 pub(crate) fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
     let values: Vec<f64> = values.collect();
