--- a/crates/wingfold-director/benches/ladder/main.rs
+++ b/crates/wingfold-director/benches/ladder/main.rs
@@ -171,6 +171,7 @@
         variant("480 proxies", Size { proxies: 480, directors: TARGET.directors / 10, ..TARGET }),
         variant("48 proxies of one zone", Size { zone_local: true, ..TARGET }),
         variant("crossing zones priced", Size { crossing_priced: true, ..TARGET }),
+        variant("2700 sums a second", Size { sums_per_s: TARGET.hosts, ..TARGET }),
         variant("one zone, load by probes", Size { proxies: 2, zones: 1, probes: true, ..TARGET }),
     ]
 }
