Keep what zones know of hosts in rows by position, renewed where something changed

Change: a roster gives each host a position; rows of all zones lie in that order, are moved and renewed for the hosts that a list names, and take over what tables expect, what a round finds and what a verdict changes in place. Judging, cuts, levels, sizes, sums, the leading group and usable lines read rows. A plan borrows its hosts' names, and cold hosts that wait leave it in one pass. The field 'fresh' of a path, written and never read, is gone. Tests green, rows compared with paths at every look in debug builds.

--- a/crates/wingfold-director/src/derived.rs
+++ b/crates/wingfold-director/src/derived.rs
@@ -2,8 +2,10 @@
 //!
 //! Nothing is decided here and none of it is written to a checkpoint: a result that is missing is worked out anew, in
 //! full. A step that is run again on equal inputs, before its due time, must change nothing; then it may be skipped.
-use crate::interface::{Event, HostId, Micros, ZoneId};
+use crate::health::HealthRows;
+use crate::interface::{Entry, Event, HostId, ListKind, Micros};
 use crate::policy::COOLDOWN_S;
+use crate::roster::Roster;
 use crate::state::{ByZone, Director, Health, Host, Path, Zone};
 use crate::table::{Line, Shared, Slot, Table};
 use std::cmp::Ordering;
@@ -111,48 +113,6 @@
 /// The lines that a zone may use, for each group of classes.
 pub(crate) type Usable = Arc<Vec<Vec<Line>>>;
 
-/// What a host counts for in the health of a zone.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct HealthRow {
-    pub(crate) ready: bool,
-    /// It stands in the zone itself.
-    pub(crate) own: bool,
-    /// 0 for a host that is not ready.
-    pub(crate) weight: f64,
-    /// It is in use, or may be.
-    pub(crate) stays: bool,
-    /// Its share of tries that were lost, where enough were heard of.
-    pub(crate) loss: Option<f64>,
-    /// It lost something, is out or on trial.
-    blamed: bool,
-    /// As in its path: tries missed, the zone's tries when it was last heard of, and its part of them.
-    missed: f64,
-    seen: f64,
-    part: f64,
-}
-
-impl HealthRow {
-    pub(crate) fn new(host: &Host, path: Option<&Path>, stays: bool, loss: Option<f64>) -> HealthRow {
-        let blameless = |path: &Path| path.state == Health::In && path.streak <= 0.0 && path.row <= 0.0;
-        HealthRow {
-            ready: host.ready(),
-            own: false,
-            weight: if host.ready() { host.weight } else { 0.0 },
-            stays: stays && host.ready(),
-            loss,
-            blamed: path.is_some_and(|path| !blameless(path)),
-            missed: path.map_or(0.0, |path| path.missed),
-            seen: path.map_or(0.0, |path| path.seen.0),
-            part: path.map_or(0.0, |path| path.part),
-        }
-    }
-
-    /// Whether a verdict may concern the host: for what it lost, or since so many tries are missed.
-    pub(crate) fn is_suspect(&self, tries: f64, missed: f64) -> bool {
-        self.blamed || self.missed + (tries - self.seen) * self.part >= missed
-    }
-}
-
 /// What is kept for a zone.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ZoneDerived {
@@ -160,11 +120,8 @@
     pub(crate) evidence: u64,
     pub(crate) standing: u64,
     pub(crate) health: Settled<HealthInputs>,
-    /// A row for each host of the fleet, in order, and the revision of the list that it was made for.
-    rows: Vec<(HostId, HealthRow)>,
-    rows_for: Option<u64>,
-    /// Hosts whose rows are to be made anew.
-    stale_rows: Vec<HostId>,
+    /// What it knows of each host.
+    pub(crate) rows: HealthRows,
     pub(crate) deal: Settled<DealInputs>,
     usable: Usable,
     usable_for: Option<UsableInputs>,
@@ -178,55 +135,54 @@
     pub(crate) revisions: Revisions,
     /// Revisions of the list and of the evidence at the last round, where it left no host with fresh figures.
     pub(crate) round: Settled<(u64, u64)>,
+    /// Every host by its position, and what the list has changed since.
+    pub(crate) roster: Roster,
     /// Hosts that may still be cold, with their share of capacity and whether they are, and the list's revision.
     warming: Vec<(HostId, f64, bool)>,
     warming_for: Option<u64>,
-    /// Hosts that some zone's tables give less than their weight, and the revisions that this was worked out for.
-    reduced: std::collections::BTreeSet<HostId>,
+    /// By position: whether some zone's tables give a host less than its weight, and the revisions that this was worked
+    /// out for.
+    reduced: Vec<bool>,
     reduced_for: Option<(u64, u64)>,
 }
 
 impl Derived {
     /// A zone has heard of a host; `crossed` tells that it became useless to all zones together, or no longer is.
     pub(crate) fn heard(&mut self, zone: &mut ZoneDerived, host: &HostId, crossed: bool) {
-        zone.touch(host);
+        zone.evidence += 1;
+        zone.rows.outdate(host);
         self.revisions.evidence += 1;
         self.revisions.useless += u64::from(crossed);
     }
-}
-
-impl ZoneDerived {
-    /// What the zone knows of a host has changed.
-    pub(crate) fn touch(&mut self, host: &HostId) {
-        self.evidence += 1;
-        if self.stale_rows.len() < self.rows.len() {
-            self.stale_rows.push(host.clone());
-        } else {
-            self.rows_for = None;
-        }
-    }
 
-    /// What the zone knows of any host may have changed.
-    pub(crate) fn touch_all(&mut self) {
-        self.evidence += 1;
-        self.rows_for = None;
+    /// The listed weights of any hosts may have changed.
+    pub(crate) fn weights_changed(&mut self) {
+        self.revisions.fleet += 1;
+        self.roster.note_any();
     }
 
-    /// How the zone's tables treat a host has changed.
-    pub(crate) fn moved(&mut self, host: &HostId) {
-        self.touch(host);
-        self.standing += 1;
+    /// The fleet has lost these hosts.
+    pub(crate) fn hosts_removed(&mut self, hosts: &[HostId]) {
+        self.revisions.fleet += u64::from(!hosts.is_empty());
+        self.roster.note(hosts);
     }
 
-    /// The hosts that a verdict may concern, by the zone's count of all tries.
-    pub(crate) fn suspects(&self, tries: f64, missed: f64) -> Vec<HostId> {
-        let suspects = self.rows.iter().filter(|(_, row)| row.is_suspect(tries, missed));
-        suspects.map(|(id, _)| id.clone()).collect()
+    /// The list has told something.
+    fn list_changed(&mut self, kind: ListKind, entries: &[Entry]) {
+        self.revisions.fleet += 1;
+        match kind {
+            ListKind::Changes => self.roster.note(entries.iter().map(|entry| &entry.host)),
+            ListKind::Whole | ListKind::Remembered => self.roster.note_any(),
+        }
     }
+}
 
-    /// A row for each host of the fleet, in order.
-    pub(crate) fn health_rows(&self) -> &[(HostId, HealthRow)] {
-        &self.rows
+impl ZoneDerived {
+    /// How the zone's tables treat the host at a position has changed.
+    pub(crate) fn moved(&mut self, at: usize, path: &Path) {
+        self.rows.set_path(at, path);
+        self.evidence += 1;
+        self.standing += 1;
     }
 }
 
@@ -246,16 +202,16 @@
 impl Director {
     /// Counts what an event changes of the list and of the proxies; what it tells of hosts is counted where it is used.
     pub(crate) fn note_change(&mut self, event: &Event) {
-        let revisions = &mut self.derived.revisions;
         match event {
-            Event::List(..) => revisions.fleet += 1,
-            Event::Joined(..) | Event::Left(_) => revisions.proxies += 1,
+            Event::List(kind, entries) => self.derived.list_changed(*kind, entries),
+            Event::Joined(..) | Event::Left(_) => self.derived.revisions.proxies += 1,
             _ => {}
         }
     }
 
     /// Judges the hosts in each zone whose inputs have changed or that is due.
     pub(crate) fn judge_changed(&mut self, zones: &mut ByZone<Zone>) {
+        self.follow_fleet(zones);
         for (name, zone) in zones {
             let Revisions { fleet, useless, .. } = self.derived.revisions;
             let evidence = zone.derived.evidence;
@@ -263,38 +219,14 @@
             if zone.derived.health.holds(&inputs, self.now) {
                 continue;
             }
-            self.follow_health(name, zone);
+            self.follow_heard(zone);
+            debug_assert!(self.rows_are_true(name, zone), "rows of {name:?} differ from its paths");
             let due = self.judge(name, zone);
             self.derived.revisions.evidence += u64::from(zone.derived.evidence != evidence);
             zone.derived.health.settle(inputs, due);
         }
     }
 
-    /// Brings the rows of a zone's health up to date: all of them after the list has changed, else those of hosts that
-    /// something was heard of.
-    fn follow_health(&self, name: &ZoneId, zone: &mut Zone) {
-        let fleet = self.derived.revisions.fleet;
-        let stale = std::mem::take(&mut zone.derived.stale_rows);
-        if zone.derived.rows_for != Some(fleet) {
-            zone.meet(&self.fleet);
-            let row = |(id, host, path): (&HostId, &Host, _)| {
-                let own = host.entry.zone == *name;
-                (id.clone(), HealthRow { own, ..self.health_row(host, path) })
-            };
-            zone.derived.rows = paired(&self.fleet, &zone.paths).map(row).collect();
-            zone.derived.rows_for = Some(fleet);
-            return;
-        }
-        for id in stale {
-            let rows = &mut zone.derived.rows;
-            let at = rows.binary_search_by(|(known, _)| order(known, &id));
-            if let (Ok(at), Some(host)) = (at, self.fleet.get(&id)) {
-                let own = rows[at].1.own;
-                rows[at].1 = HealthRow { own, ..self.health_row(host, zone.paths.get(&id)) };
-            }
-        }
-    }
-
     /// Makes a round's figures, unless nothing was heard since one that had nothing fresh.
     pub(crate) fn round_if_heard(&mut self, zones: &mut ByZone<Zone>) {
         let inputs = (self.derived.revisions.evidence, self.derived.revisions.fleet);
@@ -305,6 +237,7 @@
 
     /// Deals the hosts of each zone whose inputs have changed, or whose rest after the last dealing is over.
     pub(crate) fn deal_changed(&mut self, zones: &mut ByZone<Zone>) {
+        self.follow_fleet(zones);
         let rest = Micros::from_secs(COOLDOWN_S).0;
         for (name, zone) in zones {
             let Revisions { fleet, proxies, .. } = self.derived.revisions;
@@ -312,7 +245,6 @@
             if zone.derived.deal.holds(&inputs, self.now) {
                 continue;
             }
-            self.follow_health(name, zone);
             let rest_end = zone.laid.map(|(_, _, at)| Micros(at.0 + rest));
             self.deal(name, zone);
             let due = rest_end.filter(|end| *end > self.now).unwrap_or(NEVER);
@@ -353,20 +285,22 @@
 
     /// When a zone's view of health is due without further news: at the end of a stay outside or of a trial and, where so
     /// many tries were lost that other zones may be cut off, at once, since what was heard ages.
-    pub(crate) fn health_due(&self, zone: &Zone, suspects: &[HostId], least: f64) -> Micros {
-        if zone.lost_by(suspects) >= least {
+    pub(crate) fn health_due(&self, zone: &Zone, suspects: &[usize], least: f64) -> Micros {
+        let rows = &zone.derived.rows;
+        if rows.lost_by(suspects) >= least {
             return self.now;
         }
-        let next = |path: &Path| match path.state {
+        let next = |at: &usize| match rows.all()[*at].state {
             Health::Out(until) | Health::Trial(until) if until > self.now => until,
             _ => NEVER,
         };
-        suspects.iter().filter_map(|id| zone.paths.get(id)).map(next).min().unwrap_or(NEVER)
+        suspects.iter().map(next).min().unwrap_or(NEVER)
     }
 
-    /// Whether what was last heard of a host belongs to the present period: hosts are told of one after the other.
-    pub(crate) fn is_current(&self, path: &Path) -> bool {
-        self.now.since(path.faded_at) <= 1.5 * self.set.report_period.secs()
+    /// Whether what was last heard of a host, at `heard_at`, belongs to the present period: hosts are told of one after
+    /// the other.
+    pub(crate) fn is_current(&self, heard_at: Micros) -> bool {
+        self.now.since(heard_at) <= 1.5 * self.set.report_period.secs()
     }
 
     /// The lines that a zone may use, by group, worked out by `work_out` where something has changed.
@@ -387,21 +321,18 @@
     }
 
     /// Works out anew, where something has changed, which hosts some zone's tables give less than their weight.
-    pub(crate) fn follow_reduced<'a>(&mut self, zones: impl Iterator<Item = &'a Zone>) {
-        let zones: Vec<&Zone> = zones.collect();
-        let standing = zones.iter().map(|zone| zone.derived.standing).sum();
+    pub(crate) fn follow_reduced(&mut self, zones: &ByZone<Zone>) {
+        let standing = zones.values().map(|zone| zone.derived.standing).sum();
         let inputs = (self.derived.revisions.fleet, standing);
         if self.derived.reduced_for != Some(inputs) {
-            let paths = zones.iter().flat_map(|zone| &zone.paths);
-            let reduced = paths.filter(|(_, path)| path.state != Health::In || path.step > 0);
-            self.derived.reduced = reduced.map(|(id, _)| id.clone()).collect();
+            self.derived.reduced = self.any_zone(zones, |row| row.state != Health::In || row.step > 0);
             self.derived.reduced_for = Some(inputs);
         }
     }
 
-    /// Whether some zone's tables give a host less than its weight, as last worked out.
-    pub(crate) fn is_reduced(&self, id: &HostId) -> bool {
-        self.derived.reduced.contains(id)
+    /// By position: whether some zone's tables give a host less than its weight, as last worked out.
+    pub(crate) fn reduced(&self) -> &[bool] {
+        &self.derived.reduced
     }
 }
 
--- a/crates/wingfold-director/src/inspect.rs
+++ b/crates/wingfold-director/src/inspect.rs
@@ -164,7 +164,7 @@
         let view = |(name, zone): (&ZoneId, &Zone)| ZoneView {
             zone: name.clone(),
             usual_loss: zone.usual,
-            lead: self.lead(zone),
+            lead: Director::lead(self.scored(zone)),
             moved_at: zone.moved_at,
             proxies: self.proxies_of(name).count(),
             levels: classes().map(|class| self.level(name, class, self.share(class))).collect(),
@@ -248,7 +248,7 @@
             listed: known.weight,
             standing,
             score: path.score,
-            lead: self.lead(owner),
+            lead: Director::lead(self.scored(owner)),
             latency_ms: path.latency,
             loss: path.loss,
             confirmed: path.confirmed,
--- a/crates/wingfold-director/src/lib.rs
+++ b/crates/wingfold-director/src/lib.rs
@@ -10,9 +10,11 @@
 mod channel;
 pub mod checkpoint;
 mod derived;
+mod health;
 pub mod inspect;
 pub mod interface;
 pub mod policy;
+mod roster;
 mod state;
 mod table;
 
--- a/crates/wingfold-director/src/policy.rs
+++ b/crates/wingfold-director/src/policy.rs
@@ -308,17 +308,15 @@
     // ---- 4. Ranking: the design --------------------------------------------------------------------------
     /// Makes new figures of what was heard; gives whether there were any.
     pub(crate) fn round(&mut self, zones: &mut ByZone<Zone>) -> bool {
-        let mut whole = sums_by_host(zones);
-        let heard = || whole.values().filter(|t| t.tries >= 3.0);
+        let mut whole = self.sums_by_host(zones);
+        let heard = || whole.iter().map(|all| all.sum).filter(|t| t.tries >= 3.0);
         self.loss = median(heard().map(|t| t.lost / t.tries)).unwrap_or(0.0);
-        self.latency = median(heard().filter_map(Tally::mean_ms));
+        self.latency = median(heard().filter_map(|t| t.mean_ms()));
         // Too few tries must not confirm noise; a zone that heard little leans on the others.
-        whole.retain(|_, all| all.tries >= ENOUGH);
+        whole.retain(|all| all.sum.tries >= ENOUGH);
         for (name, zone) in zones.iter_mut() {
-            zone.paths.values_mut().for_each(|path| path.fresh = false);
-            for (id, all) in &whole {
-                let Some(path) = zone.paths.get_mut(id) else { continue };
-                path.fresh = true;
+            for HostSum { at, host, sum: all } in &whole {
+                let Some(path) = zone.paths.get_mut(host) else { continue };
                 let own = path.sum;
                 let loss = (own.lost + PRIOR * all.lost / all.tries) / (own.tries + PRIOR);
                 path.loss += 0.5 * (loss - path.loss);
@@ -328,19 +326,16 @@
                 }
                 path.score = path.latency.map(|ms| ms + LOSS_MS * 100.0 * path.loss);
                 path.sum = Tally::default();
+                zone.derived.rows.set_path(*at, path);
             }
             self.rank(name, zone, &whole);
         }
         !whole.is_empty()
     }
 
-    /// The score at which half of an owner's listed weight is reached: what its leading group is measured by.
-    pub(crate) fn lead(&self, zone: &Zone) -> Option<f64> {
-        let mut scored: Vec<(f64, f64)> = Vec::new();
-        for (_, host, path) in paired(&self.fleet, &zone.paths).filter(|(_, host, _)| host.ready()) {
-            let path = path.filter(|p| p.state == Health::In);
-            scored.extend(path.and_then(|p| Some((p.score?, host.weight))));
-        }
+    /// The score at which half of an owner's listed weight is reached, by its hosts' scores and weights:
+    /// what its leading group is measured by.
+    pub(crate) fn lead(mut scored: Vec<(f64, f64)>) -> Option<f64> {
         scored.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut left = GROUP_SHARE * scored.iter().map(|s| s.1).sum::<f64>();
         let reached = |s: &&(f64, f64)| {
@@ -351,15 +346,15 @@
     }
 
     /// Moves those of one owner's hosts that have fresh figures in and out of its leading group.
-    fn rank(&mut self, name: &ZoneId, zone: &mut Zone, fresh: &BTreeMap<HostId, Tally>) {
+    fn rank(&mut self, name: &ZoneId, zone: &mut Zone, fresh: &[HostSum]) {
         // If all exits fail the order stays (design page): losses that most hosts share say nothing of one.
         if zone.usual >= COMMON_LOSS || fresh.is_empty() {
             return;
         }
-        let Some(lead) = self.lead(zone) else { return };
+        let Some(lead) = Director::lead(zone.derived.rows.scored()) else { return };
         let cooled = zone.moved_at.is_none_or(|at| self.now.since(at) >= COOLDOWN_S);
         let aim = self.tightest_aim_ms();
-        for id in fresh.keys() {
+        for HostSum { at, host: id, .. } in fresh {
             let Some(path) = zone.paths.get_mut(id).filter(|p| p.state == Health::In) else { continue };
             let Some(score) = path.score else { continue };
             let margin = MARGIN_MS.max(MARGIN_SHARE * score).max(AIM_MARGIN * aim);
@@ -370,7 +365,7 @@
                 path.step = if lags { path.step + 1 } else { path.step - 1 };
                 path.confirmed = 0;
                 zone.moved_at = Some(self.now);
-                zone.derived.moved(id);
+                zone.derived.moved(*at, path);
                 let what = format!("{} from {}: score {score:.0} against {lead:.0}", id.0, name.0);
                 self.notes.push(format!("{what}, weight / {}", 1 << path.step));
             }
@@ -381,7 +376,7 @@
     /// hosts, and to more again by steps once losses are gone. Harm: less choice if they have another cause.
     fn tighten(&mut self, name: &ZoneId, zone: &mut Zone) {
         // One that has just started has heard of a few hosts only, and those are the ones that fail.
-        let heard = || zone.paths.values().filter(|path| path.good + path.bad >= 2.0).count() as f64;
+        let heard = || zone.derived.rows.all().iter().filter(|row| row.good + row.bad >= 2.0).count() as f64;
         let told = || self.load > 0.0 && heard() >= SAMPLE.min(TOLD_OF * self.ready().count() as f64);
         let short = (COMMON_LOSS..1.0).contains(&zone.usual) && self.load < BUSY_MOST && told();
         let before = zone.uses.max(USES);
@@ -434,21 +429,17 @@
     /// off must not withdraw a host for all, nor judge each host beyond by itself), and tries it again later.
     /// Gives when time alone may change what it found.
     pub(crate) fn judge(&mut self, name: &ZoneId, zone: &mut Zone) -> Micros {
-        zone.usual = usual_loss(zone.derived.health_rows());
-        let suspects = zone.derived.suspects(zone.heard.0, SILENT_TRIES);
+        zone.usual = usual_loss(zone.derived.rows.all());
+        let suspects = zone.derived.rows.suspects(zone.heard.0, SILENT_TRIES);
         let cut = self.cut(name, zone, &suspects, SILENT_TRIES);
         let due = self.health_due(zone, &suspects, SILENT_TRIES);
-        let suspects = if cut.is_empty() { suspects } else { self.fleet.keys().cloned().collect() };
-        let verdict = |id: HostId| {
-            let (host, path) = (self.fleet.get(&id)?, zone.paths.get(&id)?);
-            Some((self.verdict(zone, host, path, &cut)?, host.row, id))
-        };
-        let verdicts: Vec<(Verdict, f64, HostId)> = suspects.into_iter().filter_map(verdict).collect();
-        for (verdict, row, id) in verdicts {
+        let verdicts = self.verdicts(zone, suspects, &cut);
+        for (at, id, verdict) in verdicts {
             let Some(path) = zone.paths.get_mut(&id) else { continue };
             match verdict {
                 Verdict::Out => {
                     let (lost, missed) = (path.streak, path.missed_by(zone.heard.0));
+                    let row = self.fleet[&id].row;
                     let (host, counts) = (&id.0, format!("{lost:.0} lost in a row, {missed:.0} missed"));
                     self.notes.push(format!("{host} out for {}: {counts}, {row:.0} useless in all", name.0));
                     (path.stay_s, path.state) = (OUT_S, Health::Out(self.after(OUT_S)));
@@ -463,11 +454,27 @@
                     self.notes.push(format!("{} is back for {}", id.0, name.0));
                 }
             }
-            zone.derived.moved(&id);
+            zone.derived.moved(at, path);
         }
         due
     }
 
+    /// What becomes of the hosts at the positions of `suspects`, and of all while zones are cut off.
+    fn verdicts(
+        &self,
+        zone: &Zone,
+        suspects: Vec<usize>,
+        cut: &BTreeSet<ZoneId>,
+    ) -> Vec<(usize, HostId, Verdict)> {
+        let mut suspects = suspects.into_iter().peekable();
+        let hosts = self.fleet.iter().zip(zone.derived.rows.all()).enumerate();
+        let concerned = hosts.filter(|(at, _)| suspects.next_if_eq(at).is_some() || !cut.is_empty());
+        let verdict = |(at, ((id, host), row)): (usize, ((&HostId, &Host), &HealthRow))| {
+            Some((at, id.clone(), self.verdict(zone, host, row, cut)?))
+        };
+        concerned.filter(|(_, (_, row))| row.known).filter_map(verdict).collect()
+    }
+
     /// Whether losses of a host in all zones count in each: not where levels are ignored, since nothing then
     /// relieves the others of what they get, and a jam spreads.
     pub(crate) fn calm(&self) -> bool {
@@ -475,7 +482,7 @@
     }
 
     /// What becomes of a host in a zone, if that changes now.
-    fn verdict(&self, zone: &Zone, host: &Host, path: &Path, cut: &BTreeSet<ZoneId>) -> Option<Verdict> {
+    fn verdict(&self, zone: &Zone, host: &Host, path: &HealthRow, cut: &BTreeSet<ZoneId>) -> Option<Verdict> {
         let (usual, (tries, turns)) = (zone.usual, zone.heard);
         // Two witnesses are enough: the list says gone, and nothing comes back.
         let dead = host.doubted && path.streak >= 1.0;
@@ -496,11 +503,11 @@
         }
     }
 
-    /// What a host counts for in the health of a zone.
-    pub(crate) fn health_row(&self, host: &Host, path: Option<&Path>) -> HealthRow {
-        let stays = path.is_none_or(|p| p.state == Health::In && p.streak < OUT_LOST);
-        let heard = path.filter(|p| stays && p.good + p.bad >= 2.0);
-        HealthRow::new(host, path, stays, heard.map(|p| p.bad / (p.good + p.bad)))
+    /// Whether a zone uses a host, or may, and the host's share of losses where enough was heard of it.
+    pub(crate) fn in_use(path: &Path) -> (bool, Option<f64>) {
+        let stays = path.state == Health::In && path.streak < OUT_LOST;
+        let heard = stays && path.good + path.bad >= 2.0;
+        (stays, heard.then(|| path.bad / (path.good + path.bad)))
     }
 
     // ---- 6. Return ---------------------------------------------------------------------------------------
@@ -516,8 +523,8 @@
     /// it) times the open capacity, over the share let in when it was measured.
     fn levels(&mut self, zones: &ByZone<Zone>) {
         let (loss, mut capacity, mut seen, mut used) = (self.loss, 0.0, 0.0, 0.0);
-        let taken = |id| zones.values().any(|z| z.paths.get(id).is_some_and(|p| p.state == Health::In));
-        for (_, host) in self.fleet.iter().filter(|(id, h)| h.ready() && taken(id)) {
+        let taken = self.any_zone(zones, |row| row.known && row.state == Health::In);
+        for (host, _) in self.fleet.values().zip(taken).filter(|(host, taken)| host.ready() && *taken) {
             let open = host.weight * self.warmth(host);
             capacity += open;
             // A host that gets nothing reports nothing: its last word must not hold a level down.
@@ -574,7 +581,7 @@
                 let same = self.fleet.values_mut().filter(|host| host.entry.kind == kind);
                 same.for_each(|host| host.weight *= now / was);
                 (self.sized_at, _) = (Some(self.now), self.speeds.insert(kind, now));
-                self.derived.revisions.fleet += 1;
+                self.derived.weights_changed();
             }
         }
     }
@@ -658,13 +665,14 @@
     pub(crate) fn usable(&self, name: &ZoneId, zone: &Zone, group: usize) -> Vec<Line> {
         let mut lines = Vec::with_capacity(self.fleet.len());
         let open = |h: &Host| h.ready() && self.groups[group].may_go(name, &h.entry);
-        for (id, host, path) in paired(&self.fleet, &zone.paths).filter(|(_, host, _)| open(host)) {
-            let factor = match path.map_or(Health::In, |p| p.state) {
-                Health::In => 0.5f64.powi(path.map_or(0, |p| p.step) as i32),
+        let hosts = self.fleet.iter().zip(zone.derived.rows.all());
+        for ((id, host), row) in hosts.filter(|((_, host), _)| open(host)) {
+            let factor = match row.state {
+                Health::In => 0.5f64.powi(row.step as i32),
                 Health::Trial(_) => TRIAL,
                 Health::Out(_) => 0.0,
             };
-            let (id, weight, own) = (id.clone(), host.weight, host.entry.zone == *name);
+            let (id, weight, own) = (id.clone(), host.weight, row.own);
             let (near, warmth, cold) = (zone.near(own), self.warmth(host), self.age(host) < 1.0);
             lines.push(Line { id, weight, near, factor, warmth, cold, own, place: 0.0 });
         }
@@ -673,21 +681,22 @@
     }
 
     /// The lines of a table at their weights, its spares, and the scale of a usual day.
-    fn plan(&self, zone: &Zone, usable: &[Line], slot: &Slot, full: f64) -> Plan {
+    fn plan<'a>(&self, zone: &Zone, usable: &'a [Line], slot: &Slot, full: f64) -> Plan<'a> {
         let whole = slot.length >= 1.0; // In a part, fewer hosts of other zones stand for less weight of all.
         let weight = |l: &Line| if whole { l.weight * l.near } else { l.weight };
         let far = |l: &Line| if whole { 0.0 } else { (l.place - slot.start).rem_euclid(1.0) / l.near };
-        let warm = usable.iter().filter(|l| !l.cold && l.factor > 0.0);
-        let last = nth_least(warm.map(far), LEAST_HOSTS as usize);
+        let far: Vec<f64> = usable.iter().map(far).collect();
+        let warm = usable.iter().zip(&far).filter(|(l, _)| !l.cold && l.factor > 0.0);
+        let last = nth_least(warm.map(|(_, far)| *far), LEAST_HOSTS as usize);
         let reach = slot.length.max(last.map_or(0.0, |last| last + 1e-9));
         let mut lines: Vec<PlannedLine> = Vec::with_capacity(usable.len());
-        let planned = |l: &Line, weight, spare| PlannedLine { id: l.id.clone(), weight, spare };
+        let planned = |l: &'a Line, weight, spare| PlannedLine { id: &l.id, weight, spare };
         // Cold hosts that have a line, and where.
         let mut cold: Vec<(&Line, usize)> = Vec::new();
         let (mut usual, mut warm, mut rest) = (0.0, 0.0, 0.0);
-        for line in usable {
+        for (line, far) in usable.iter().zip(far) {
             let (base, factor) = (weight(line), line.factor);
-            if far(line) >= reach {
+            if far >= reach {
                 if !line.cold {
                     lines.push(planned(line, base * SPARE, true));
                 }
@@ -715,17 +724,16 @@
         // Cold hosts wait while losses are common: proxies avoid most other lines by their own count, and all
         // of it would fall on the newcomer. Warm hosts count by listed weight, whatever a strain left.
         let waits = warm >= WARM_ENOUGH * full && zone.usual >= COMMON_LOSS;
-        // From the last on, since taking one out moves those behind it.
-        for (line, at) in cold.into_iter().rev().filter(|_| rest > 0.0) {
+        cold.retain(|_| rest > 0.0);
+        for (line, at) in cold.iter().filter(|_| !waits) {
             // Few hosts left: what the others no longer carry must not push a cold host over.
             let budget = self.set.overload_factor * line.warmth * COLD_USE / ASSUMED_LOAD;
             let share = (budget * weight(line) / full).min(0.9);
-            let most = share / (1.0 - share) * rest;
-            if waits {
-                lines.remove(at);
-            } else if lines[at].weight > most {
-                lines[at].weight = most;
-            }
+            lines[*at].weight = lines[*at].weight.min(share / (1.0 - share) * rest);
+        }
+        if waits {
+            let (mut waiting, mut next) = (cold.iter().map(|(_, at)| *at).peekable(), 0..);
+            lines.retain(|_| next.next().is_none_or(|at| waiting.next_if_eq(&at).is_none()));
         }
         Plan { lines, full }
     }
@@ -787,7 +795,7 @@
         }
         let plan = self.plan(zone, usable, slot, table.full);
         let (mut changes, mut levels) = table.differences(&plan, spared, &wanted, SAME);
-        let spares: Vec<LineChange> = plan.new_spares(table).filter(|_| spared).collect();
+        let spares = if spared { plan.new_spares(table) } else { Vec::new() };
         let urgent = changes.iter().map(|change| self.urgency(zone, change));
         // In a crowd the joiners' part of the channel is for all: tables that stand still jam hosts. Joiners
         // have it for themselves once the first of them has waited for a good part of its grace.
@@ -877,9 +885,9 @@
 
 /// The median loss of those of a zone's hosts that answer: an outlier must stand out against it. 1 where next
 /// to none answers (panic threshold): the observer, its zone or an overload is likelier then.
-fn usual_loss(rows: &[(HostId, HealthRow)]) -> f64 {
-    let total: f64 = rows.iter().map(|(_, row)| row.weight).sum();
-    let staying = || rows.iter().filter(|(_, row)| row.stays);
-    let panic = staying().map(|(_, row)| row.weight).sum::<f64>() < PANIC_SHARE * total;
-    panic.then_some(1.0).or(median(staying().filter_map(|(_, row)| row.loss))).unwrap_or(0.0)
+fn usual_loss(rows: &[HealthRow]) -> f64 {
+    let total: f64 = rows.iter().map(|row| row.weight).sum();
+    let staying = || rows.iter().filter(|row| row.stays);
+    let panic = staying().map(|row| row.weight).sum::<f64>() < PANIC_SHARE * total;
+    panic.then_some(1.0).or(median(staying().filter_map(|row| row.loss))).unwrap_or(0.0)
 }
--- /dev/null
+++ b/crates/wingfold-director/src/roster.rs
@@ -0,0 +1,122 @@
+//! The hosts of the fleet by position. What is worked out for each host lies in vectors in this order, which are far
+//! cheaper to go over than the records themselves.
+use crate::derived::order;
+use crate::interface::{HostId, ZoneId};
+use crate::state::Host;
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Hosts that the list has changed since the roster was last brought up to date.
+#[derive(Clone, Debug)]
+enum Changed {
+    Named(Vec<HostId>),
+    Any,
+}
+
+impl Default for Changed {
+    fn default() -> Self {
+        Changed::Named(Vec::new())
+    }
+}
+
+/// Every host in its order, as of a revision of the list.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Roster {
+    ids: Arc<Vec<HostId>>,
+    /// By position: the zone in which a host stands, as a position among `zones`.
+    homes: Vec<usize>,
+    zones: Vec<ZoneId>,
+    revision: Option<u64>,
+    changed: Changed,
+}
+
+/// How the positions of a roster have changed.
+#[derive(Debug)]
+pub(crate) struct Renumbering {
+    /// The revision of the roster before.
+    pub(crate) before: Option<u64>,
+    /// By new position: the old one; `None` for a host that has come.
+    pub(crate) old: Vec<Option<usize>>,
+    /// New positions of the hosts that the list has changed; `None` where it may have changed any.
+    pub(crate) changed: Option<Vec<usize>>,
+}
+
+impl Roster {
+    /// The list has changed these hosts, or they have gone.
+    pub(crate) fn note<'a>(&mut self, hosts: impl IntoIterator<Item = &'a HostId>) {
+        if let Changed::Named(named) = &mut self.changed {
+            named.extend(hosts.into_iter().cloned());
+            if named.len() > self.ids.len() {
+                self.changed = Changed::Any;
+            }
+        }
+    }
+
+    /// The list may have changed any host.
+    pub(crate) fn note_any(&mut self) {
+        self.changed = Changed::Any;
+    }
+
+    /// Whether it stands at this revision of the list.
+    pub(crate) fn is_of(&self, revision: u64) -> bool {
+        self.revision == Some(revision)
+    }
+
+    /// The hosts in their order.
+    pub(crate) fn ids(&self) -> Arc<Vec<HostId>> {
+        self.ids.clone()
+    }
+
+    /// How many hosts there are.
+    pub(crate) fn len(&self) -> usize {
+        self.ids.len()
+    }
+
+    /// The position of a host.
+    pub(crate) fn position(&self, id: &HostId) -> Option<usize> {
+        self.ids.binary_search_by(|known| order(known, id)).ok()
+    }
+
+    /// The zones in which hosts stand.
+    pub(crate) fn zones(&self) -> &[ZoneId] {
+        &self.zones
+    }
+
+    /// By position: the zone in which a host stands, as a position among `zones`.
+    pub(crate) fn homes(&self) -> &[usize] {
+        &self.homes
+    }
+
+    /// Brings it in line with the fleet, as of a revision of the list.
+    pub(crate) fn follow(&mut self, fleet: &BTreeMap<HostId, Host>, revision: u64) -> Renumbering {
+        let mut known = self.ids.iter().enumerate().peekable();
+        let mut old = Vec::with_capacity(fleet.len());
+        for id in fleet.keys() {
+            while known.next_if(|(_, other)| order(other, id) == Ordering::Less).is_some() {}
+            let same = known.next_if(|(_, other)| order(other, id) == Ordering::Equal);
+            old.push(same.map(|(at, _)| at));
+        }
+        self.ids = Arc::new(fleet.keys().cloned().collect());
+        self.find_homes(fleet);
+        let changed = match std::mem::take(&mut self.changed) {
+            Changed::Any => None,
+            Changed::Named(named) => Some(named.iter().filter_map(|id| self.position(id)).collect()),
+        };
+        let before = self.revision.replace(revision);
+        Renumbering { before, old, changed }
+    }
+
+    fn find_homes(&mut self, fleet: &BTreeMap<HostId, Host>) {
+        let mut numbers: BTreeMap<&ZoneId, usize> = BTreeMap::new();
+        (self.homes, self.zones) = (Vec::with_capacity(fleet.len()), Vec::new());
+        for host in fleet.values() {
+            let zone = &host.entry.zone;
+            let number = *numbers.entry(zone).or_insert(self.zones.len());
+            if number == self.zones.len() {
+                self.zones.push(zone.clone());
+            }
+            self.homes.push(number);
+        }
+    }
+}
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -1,6 +1,7 @@
 //! What a director remembers: plain records, no decision and no figure. `policy.rs` says what becomes of them.
 use crate::channel::Channel;
 pub(crate) use crate::derived::*;
+pub(crate) use crate::health::HealthRow;
 use crate::interface::*;
 pub(crate) use crate::table::*;
 use serde::{Deserialize, Serialize};
@@ -25,7 +26,7 @@
 }
 
 /// Tries, losses among them, and time of the good ones in ms.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct Tally {
     pub(crate) tries: f64,
@@ -43,8 +44,6 @@
     pub(crate) latency: Option<f64>,
     pub(crate) loss: f64,
     pub(crate) score: Option<f64>,
-    /// The last round had enough news for a figure.
-    pub(crate) fresh: bool,
     /// Halvings in force, and rounds in a row that speak for the next move.
     pub(crate) step: u32,
     pub(crate) confirmed: u32,
@@ -192,12 +191,6 @@
 }
 
 impl Zone {
-    /// Tries lost in a row at some hosts.
-    pub(crate) fn lost_by(&self, hosts: &[HostId]) -> f64 {
-        let paths = hosts.iter().filter_map(|id| self.paths.get(id));
-        paths.map(|path| path.streak).sum()
-    }
-
     /// Begins to know each ready host that it does not know yet.
     pub(crate) fn meet(&mut self, fleet: &BTreeMap<HostId, Host>) {
         let unknown = paired(fleet, &self.paths).filter(|(_, host, path)| host.ready() && path.is_none());
@@ -234,14 +227,12 @@
     }
 }
 
-/// What all zones together met at each host since the last round that used it.
-pub(crate) fn sums_by_host(zones: &ByZone<Zone>) -> BTreeMap<HostId, Tally> {
-    let mut sums: BTreeMap<HostId, Tally> = BTreeMap::new();
-    let paths = zones.values().flat_map(|zone| &zone.paths);
-    for (id, path) in paths.filter(|(_, path)| path.sum.tries > 0.0) {
-        sums.entry(id.clone()).or_default().add(path.sum);
-    }
-    sums
+/// What all zones together met at a host since the last round that used it.
+pub(crate) struct HostSum {
+    /// The host's position in the roster.
+    pub(crate) at: usize,
+    pub(crate) host: HostId,
+    pub(crate) sum: Tally,
 }
 
 impl Tally {
@@ -269,7 +260,7 @@
 
     /// Ready and known hosts, each counted as near as it is.
     pub(crate) fn near_hosts(&self) -> (f64, f64) {
-        let rows = || self.derived.health_rows().iter().map(|(_, row)| row);
+        let rows = || self.derived.rows.all().iter();
         let ready: f64 = rows().filter(|row| row.ready).map(|row| self.near(row.own)).sum();
         let known: f64 = rows().map(|row| self.near(row.own)).sum();
         (ready, known)
@@ -279,7 +270,7 @@
 impl Path {
     /// Tries that should have come since the host was last heard of, by the zone's count of all tries.
     pub(crate) fn missed_by(&self, tries: f64) -> f64 {
-        self.missed + (tries - self.seen.0) * self.part
+        tries_missed(self.missed, self.seen.0, self.part, tries)
     }
 
     /// Forgets all, in a new state and with halvings in force.
@@ -324,30 +315,21 @@
     }
 
     /// The other zones that nothing of a zone reaches, while most of its own hosts answer: all tries that the last sums told
-    /// were lost, so many at least.
-    /// Only `suspects` have lost any.
-    pub(crate) fn cut(
-        &self,
-        name: &ZoneId,
-        zone: &Zone,
-        suspects: &[HostId],
-        least: f64,
-    ) -> BTreeSet<ZoneId> {
-        if zone.lost_by(suspects) < least {
+    /// were lost, so many at least. Only hosts at the positions of `suspects` have lost any.
+    pub(crate) fn cut(&self, name: &ZoneId, zone: &Zone, suspects: &[usize], least: f64) -> BTreeSet<ZoneId> {
+        if zone.derived.rows.lost_by(suspects) < least {
             return BTreeSet::new();
         }
-        // By zone: tries lost in a row, and of how many hosts the last one was good or lost.
-        let mut met: BTreeMap<&ZoneId, (f64, [u32; 2])> = BTreeMap::new();
-        for (_, host, path) in paired(&self.fleet, &zone.paths) {
-            if let Some(path) = path.filter(|path| self.is_current(path)) {
-                let (lost, hosts) = met.entry(&host.entry.zone).or_default();
-                *lost += path.streak;
-                hosts[usize::from(path.streak > 0.0)] += 1;
-            }
+        let roster = &self.derived.roster;
+        let mut met = vec![Met::default(); roster.zones().len()];
+        let rows = zone.derived.rows.all().iter().zip(roster.homes());
+        for (row, home) in rows.filter(|(row, _)| row.known && self.is_current(row.faded_at)) {
+            met[*home].count(row.streak);
         }
-        let home = met.remove(name).is_some_and(|(_, [good, bad])| good >= bad);
-        met.retain(|_, (lost, [good, _])| home && *lost >= least && *good == 0);
-        met.into_keys().cloned().collect()
+        let met = || roster.zones().iter().zip(&met);
+        let home = met().any(|(zone, met)| zone == name && met.good + met.bad > 0 && met.good >= met.bad);
+        let cut = met().filter(|(zone, met)| home && *zone != name && met.lost >= least && met.good == 0);
+        cut.map(|(zone, _)| zone.clone()).collect()
     }
 
     /// Voids the usage of proxies that have told nothing while others did, for so many of their requests and periods:
@@ -369,7 +351,7 @@
         let old = |host: &Host| host.gone_at.is_some_and(|at| self.now.since(at) >= secs);
         let gone = self.fleet.iter().filter(|(id, host)| old(host) && !held(id));
         let gone: Vec<HostId> = gone.map(|(id, _)| id.clone()).collect();
-        self.derived.revisions.fleet += u64::from(!gone.is_empty());
+        self.derived.hosts_removed(&gone);
         for id in gone {
             self.fleet.remove(&id);
             for zone in zones.values_mut() {
@@ -377,6 +359,7 @@
             }
             out.push(Action::Forget(id));
         }
+        self.follow_fleet(zones);
     }
 
     /// Lines that a message counts besides its own: its head, and a mark if it has one.
@@ -482,18 +465,38 @@
     /// Busy shares by kind of machine: those of its warm hosts that told them lately and that every zone here uses by
     /// their full size.
     pub(crate) fn busy_by_kind(&mut self, zones: &ByZone<Zone>, lately: f64) -> BTreeMap<String, Vec<f64>> {
-        self.follow_reduced(zones.values());
+        self.follow_reduced(zones);
         let mut kinds: BTreeMap<String, Vec<f64>> = BTreeMap::new();
-        for (id, host) in self.ready() {
+        for (host, reduced) in self.fleet.values().zip(self.reduced()).filter(|(host, _)| host.ready()) {
             let told = host.busy.filter(|(busy, at)| *busy > 0.0 && self.now.since(*at) <= lately);
-            let Some((busy, _)) = told.filter(|_| self.age(host) >= 1.0) else { continue };
-            if !self.is_reduced(id) {
-                kinds.entry(host.entry.kind.clone()).or_default().push(busy);
+            let Some((busy, _)) = told.filter(|_| self.age(host) >= 1.0 && !reduced) else { continue };
+            match kinds.get_mut(&host.entry.kind) {
+                Some(known) => known.push(busy),
+                None => drop(kinds.insert(host.entry.kind.clone(), vec![busy])),
             }
         }
         kinds
     }
 
+    /// What all zones together met at each host since the last round that used it.
+    pub(crate) fn sums_by_host(&self, zones: &ByZone<Zone>) -> Vec<HostSum> {
+        let ids = self.derived.roster.ids();
+        let mut sums = vec![Tally::default(); ids.len()];
+        for zone in zones.values() {
+            let rows = sums.iter_mut().zip(zone.derived.rows.all());
+            rows.filter(|(_, row)| row.sum.tries > 0.0).for_each(|(all, row)| all.add(row.sum));
+        }
+        let met = sums.into_iter().enumerate().filter(|(_, sum)| sum.tries > 0.0);
+        met.map(|(at, sum)| HostSum { at, host: ids[at].clone(), sum }).collect()
+    }
+
+    /// Listed weights of the hosts that are ready, not out and have a score for a zone, with the scores.
+    pub(crate) fn scored(&self, zone: &Zone) -> Vec<(f64, f64)> {
+        let taken = paired(&self.fleet, &zone.paths).filter(|(_, host, _)| host.ready());
+        let taken = taken.filter_map(|(_, host, path)| Some((host, path.filter(|p| p.state == Health::In)?)));
+        taken.filter_map(|(host, path)| Some((path.score?, host.weight))).collect()
+    }
+
     /// The rate at each proxy of the zone that lets `share` of the class in; no limit where none is known.
     pub(crate) fn cap(&self, zone: &ZoneId, class: ClassId, share: f64) -> Option<f64> {
         let usage = |(_, p): (_, &Proxy)| p.usage.get(&class).copied().unwrap_or(0.0);
@@ -508,6 +511,31 @@
     }
 }
 
+/// What a zone met lately at the hosts of another: tries lost in a row, and of how many hosts the last one was good or lost.
+#[derive(Clone, Copy, Default)]
+struct Met {
+    lost: f64,
+    good: u32,
+    bad: u32,
+}
+
+impl Met {
+    fn count(&mut self, streak: f64) {
+        self.lost += streak;
+        if streak > 0.0 {
+            self.bad += 1;
+        } else {
+            self.good += 1;
+        }
+    }
+}
+
+/// Tries that should have come to a host since it was last heard of: `missed` while its part of the zone's tries was another,
+/// and its `part` of all `tries` since `seen`.
+pub(crate) fn tries_missed(missed: f64, seen: f64, part: f64, tries: f64) -> f64 {
+    missed + (tries - seen) * part
+}
+
 /// Arcs of the ring of hosts for slots of some work, laid end to end from `begin` on: the start of each, and its share
 /// of the work. They lie in the order of their numbers' multiples of the golden ratio: arcs of slots opened one after
 /// the other are scattered evenly, and another slot changes nothing in the order of those before.
--- a/crates/wingfold-director/src/table.rs
+++ b/crates/wingfold-director/src/table.rs
@@ -2,7 +2,7 @@
 //! here.
 use crate::derived::{order, Settled, TableInputs, Usable};
 use crate::interface::*;
-use crate::state::{ByZone, Director, Path, Zone};
+use crate::state::{ByZone, Director, Zone};
 use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
@@ -62,8 +62,8 @@
 
 /// A line that a table should have.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct PlannedLine {
-    pub(crate) id: HostId,
+pub(crate) struct PlannedLine<'a> {
+    pub(crate) id: &'a HostId,
     pub(crate) weight: f64,
     /// At next to no weight, and laid only where there is room.
     pub(crate) spare: bool,
@@ -71,8 +71,8 @@
 
 /// What a table should hold, in the order of its hosts, and the scale of a usual day.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) struct Plan {
-    pub(crate) lines: Vec<PlannedLine>,
+pub(crate) struct Plan<'a> {
+    pub(crate) lines: Vec<PlannedLine<'a>>,
     pub(crate) full: f64,
 }
 
@@ -122,21 +122,21 @@
     pub(crate) settled: Settled<TableInputs>,
 }
 
-impl Plan {
+impl<'a> Plan<'a> {
     /// The lines that are not spares.
-    pub(crate) fn main(&self) -> impl Iterator<Item = &PlannedLine> {
+    pub(crate) fn main(&self) -> impl Iterator<Item = &PlannedLine<'a>> {
         self.lines.iter().filter(|line| !line.spare)
     }
 
     /// The lines, but no spares, for a table that is empty.
     pub(crate) fn anew(&self) -> Vec<LineChange> {
-        self.main().map(|line| LineChange::new(&line.id, line.weight, None)).collect()
+        self.main().map(|line| LineChange::new(line.id, line.weight, None)).collect()
     }
 
     /// The spares that a table does not hold yet.
-    pub(crate) fn new_spares<'a>(&'a self, table: &'a Table) -> impl Iterator<Item = LineChange> + 'a {
-        let new = self.lines.iter().filter(|line| line.spare && !table.lines.contains_key(&line.id));
-        new.map(|line| LineChange::new(&line.id, line.weight, None))
+    pub(crate) fn new_spares(&self, table: &Table) -> Vec<LineChange> {
+        let new = self.lines.iter().filter(|line| line.spare && !table.lines.contains_key(line.id));
+        new.map(|line| LineChange::new(line.id, line.weight, None)).collect()
     }
 }
 
@@ -162,16 +162,16 @@
         let (mut changes, mut removed) = (Vec::new(), Vec::new());
         let mut held = self.lines.iter().peekable();
         for line in &plan.lines {
-            while let Some((id, before)) = held.next_if(|(id, _)| order(id, &line.id) == Ordering::Less) {
+            while let Some((id, before)) = held.next_if(|(id, _)| order(id, line.id) == Ordering::Less) {
                 removed.push(LineChange::new(id, 0.0, Some(*before)));
             }
-            let before = held.next_if(|(id, _)| order(id, &line.id) == Ordering::Equal).map(|(_, w)| *w);
+            let before = held.next_if(|(id, _)| order(id, line.id) == Ordering::Equal).map(|(_, w)| *w);
             let differs = |before: f64| (line.weight / before - 1.0).abs() > same;
             match (line.spare, before) {
                 (true, None) => {}
-                (true, Some(_)) if !spared => removed.push(LineChange::new(&line.id, 0.0, before)),
+                (true, Some(_)) if !spared => removed.push(LineChange::new(line.id, 0.0, before)),
                 _ if before.is_none_or(differs) => {
-                    changes.push(LineChange::new(&line.id, line.weight, before))
+                    changes.push(LineChange::new(line.id, line.weight, before))
                 }
                 _ => {}
             }
@@ -240,38 +240,43 @@
     xxhash_rust::xxh3::xxh3_64_with_seed(&class.0.to_le_bytes(), level.to_bits())
 }
 
-/// The part of a zone's tries that a host should get by the zone's tables.
-type Parts<'a> = Vec<(&'a HostId, &'a mut Path, Option<f64>)>;
-
 impl Zone {
-    /// Works out what part of the zone's tries each host should get by its tables, given each slot's work.
-    pub(crate) fn expect(&mut self, work: &[f64]) {
+    /// Works out what part of the zone's tries each host should get by its tables, given each slot's work; `ids` are all
+    /// hosts in their order, as the zone's rows have them.
+    fn expect(&mut self, ids: &[HostId], work: &[f64]) {
         let total: f64 = work.iter().sum();
-        let mut parts: Parts = self.paths.iter_mut().map(|(id, path)| (id, path, None)).collect();
-        let mut unmet: BTreeSet<&HostId> = BTreeSet::new();
+        let mut parts: Vec<Option<f64>> = vec![None; ids.len()];
+        let mut unlisted: BTreeSet<&HostId> = BTreeSet::new();
         for (slot, work) in self.slots.iter().zip(work) {
             let lines = &slot.tables[0].lines;
             let all = lines.values().sum::<f64>() * total;
             let mut next = 0;
             for (id, weight) in lines {
-                while parts.get(next).is_some_and(|(other, ..)| order(other, id) == Ordering::Less) {
+                while ids.get(next).is_some_and(|other| order(other, id) == Ordering::Less) {
                     next += 1;
                 }
-                match parts.get_mut(next).filter(|(other, ..)| order(other, id) == Ordering::Equal) {
-                    Some((_, _, part)) => *part = Some(part.unwrap_or_default() + work * weight / all),
-                    None => drop(unmet.insert(id)),
+                match parts.get_mut(next).filter(|_| order(&ids[next], id) == Ordering::Equal) {
+                    Some(part) => *part = Some(part.unwrap_or_default() + work * weight / all),
+                    None => drop(unlisted.insert(id)),
                 }
             }
         }
-        let met = parts.iter().filter(|(_, _, part)| part.is_some()).count();
-        self.width = (met + unmet.len()) as f64;
-        for (_, path, part) in parts {
-            path.missed += (self.heard.0 - path.seen.0) * path.part;
+        let listed = parts.iter().filter(|part| part.is_some()).count();
+        self.width = (listed + unlisted.len()) as f64;
+        let mut next = 0;
+        for (id, path) in &mut self.paths {
+            while ids.get(next).is_some_and(|other| order(other, id) == Ordering::Less) {
+                next += 1;
+            }
+            let at =
+                Some(next).filter(|at| ids.get(*at).is_some_and(|other| order(other, id) == Ordering::Equal));
+            path.missed = path.missed_by(self.heard.0);
             let turns = if path.part > 0.0 { path.seen.1 } else { self.heard.1 };
             path.seen = (self.heard.0, turns);
-            path.part = part.unwrap_or(0.0);
+            path.part = at.and_then(|at| parts[at]).unwrap_or(0.0);
+            at.into_iter().for_each(|at| self.derived.rows.set_expected(at, path));
         }
-        self.derived.touch_all();
+        self.derived.evidence += 1;
     }
 }
 
@@ -290,9 +295,10 @@
     /// Works out what part of its tries each host should get in the zones whose tables have changed; each slot has at
     /// least so much work.
     pub(crate) fn expect_changed(&self, zones: &mut ByZone<Zone>, least: f64) {
+        let ids = self.derived.roster.ids();
         for (name, zone) in zones {
             if std::mem::take(&mut zone.changed) {
-                zone.expect(&self.work(name, zone, least));
+                zone.expect(&ids, &self.work(name, zone, least));
             }
         }
     }
