Hear drains beside an entry that cannot be read, and tell when the process stood still

Change: entries are read one by one; an answer with an unreadable one is still a failed call and asked for again, its version not taken, but what it tells of hosts that drain or are gone is handed on at once, and the log names the entry by place and host. A timer a second late or more is counted and told (standstills_total, timer_late_us_most).

--- a/crates/wingfold-director/src/health.rs
+++ b/crates/wingfold-director/src/health.rs
@@ -183,7 +183,12 @@
 /// Puts rows at their new positions: `old` has their old ones.
 fn moved<Row: Copy + Default>(old: &[Option<usize>], from: &[Row], to: &mut Vec<Row>) {
     to.clear();
-    to.extend(old.iter().map(|at| at.map_or(Row::default(), |at| from[at])));
+    for run in old.chunk_by(|one, next| one.is_some() && *next == one.map(|at| at + 1)) {
+        match run[0] {
+            Some(first) => to.extend_from_slice(&from[first..first + run.len()]),
+            None => to.push(Row::default()),
+        }
+    }
 }
 
 impl Director {
--- a/crates/wingfold-director/src/policy.rs
+++ b/crates/wingfold-director/src/policy.rs
@@ -874,8 +874,14 @@
 /// The median loss of those of a zone's hosts that answer: an outlier must stand out against it. 1 where next
 /// to none answers (panic threshold): the observer, its zone or an overload is likelier then.
 fn usual_loss(rows: &[HealthRow]) -> f64 {
-    let total: f64 = rows.iter().map(|row| row.weight).sum();
-    let staying = || rows.iter().filter(|row| row.stays);
-    let panic = staying().map(|row| row.weight).sum::<f64>() < PANIC_SHARE * total;
-    panic.then_some(1.0).or(median(staying().filter_map(|row| row.loss))).unwrap_or(0.0)
+    let (mut total, mut staying, mut losses) = (0.0, 0.0, Vec::with_capacity(rows.len()));
+    for row in rows {
+        total += row.weight;
+        if row.stays {
+            staying += row.weight;
+            losses.extend(row.loss);
+        }
+    }
+    let panic = staying < PANIC_SHARE * total;
+    panic.then_some(1.0).or(median(losses.into_iter())).unwrap_or(0.0)
 }
--- a/crates/wingfold-node/src/discovery.rs
+++ b/crates/wingfold-node/src/discovery.rs
@@ -7,7 +7,7 @@
 use crate::config::{Bounds, Config};
 use crate::http::{CallError, Http};
 use crate::inbox::{Inbox, News};
-use crate::list::Listing;
+use crate::list::{Listing, Server, UnreadableEntry};
 use crate::metrics::Metrics;
 use crate::{log, or_never, reload, stage};
 use hyper::StatusCode;
@@ -49,6 +49,8 @@
     Empty,
     #[error("changes up to version {0} where those after {1} were asked for")]
     Behind(u64, u64),
+    #[error("entries that cannot be read: {count}, the first is {}", log::plain(&.first.to_string()))]
+    Entries { count: usize, first: UnreadableEntry },
 }
 
 /// Whole lists older than the one held that are refused in a row. One that comes late would undo the drains told since;
@@ -212,6 +214,7 @@
     /// had not come.
     fn heard_late(&self, answer: Answer, held: Option<u64>) {
         match answer {
+            Ok(list) if !list.unreadable.is_empty() => self.tell_drains(list),
             Ok(list) if held.is_none_or(|held| list.version >= held) && !list.servers.is_empty() => {
                 let entries = list.servers.len();
                 tracing::info!(
@@ -293,11 +296,26 @@
             }
             _ => {}
         }
+        if let Some(error) = unreadable(&list) {
+            self.metrics.list_entries_invalid_total.add(list.unreadable.len() as u64);
+            self.tell_drains(list);
+            return Err(error);
+        }
         (self.older, self.listed) = (0, self.listed || !list.servers.is_empty());
         self.anew &= !list.full;
         Ok(list)
     }
 
+    /// Hands on what an answer tells of hosts that drain or are gone, where other entries of it cannot be read: a drain must
+    /// not wait until those are mended. All else of it is asked for again.
+    fn tell_drains(&self, mut list: Listing) {
+        list.servers.retain(Server::leaves);
+        if !list.servers.is_empty() {
+            tracing::info!(version = list.version, entries = list.servers.len(), "drains, of a list refused");
+            self.inbox.put(News::List(ListKind::Changes, list));
+        }
+    }
+
     /// Hands an answer to a call for what came after a version on; gives whether it had news, or `None` if the call failed.
     fn tell(&mut self, answer: Answer, after: Option<u64>, always: bool) -> Option<bool> {
         let list = match answer.and_then(|list| self.believe(list, after)) {
@@ -330,6 +348,12 @@
     }
 }
 
+/// What is wrong with an answer of which some entries cannot be read.
+fn unreadable(list: &Listing) -> Option<ListError> {
+    let first = list.unreadable.first()?.clone();
+    Some(ListError::Entries { count: list.unreadable.len(), first })
+}
+
 /// Waits for the answer to a call; for good where there is none.
 async fn answer(call: &mut Option<Call>) -> Answer {
     or_never(call.as_mut().map(|call| call.answer.as_mut())).await
--- a/crates/wingfold-node/src/engine.rs
+++ b/crates/wingfold-node/src/engine.rs
@@ -22,7 +22,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep_until;
 use wingfold_archive::Mailbox;
@@ -33,6 +33,9 @@
 /// A message has so many parts at most.
 const MOST_PARTS: usize = 64;
 
+/// A timer that rings so much late means that the process stood still: it was stopped, or got no processor time.
+const STANDSTILL: Duration = Duration::from_secs(1);
+
 /// The decision module and all that its orders need.
 pub struct Engine {
     /// The module.
@@ -124,6 +127,9 @@
 
     /// Takes the timers that are due.
     fn ring(&mut self, now: Micros, events: &mut Vec<Event>) {
+        if let Some(Reverse((at, _))) = self.timers.peek() {
+            self.note_late(Duration::from_micros(now.0.saturating_sub(at.0)));
+        }
         let due = |timer: &&Reverse<(Micros, u64)>| timer.0 .0 <= now;
         while let Some(Reverse((_, token))) = self.timers.peek().filter(due).copied() {
             self.timers.pop();
@@ -131,6 +137,15 @@
         }
     }
 
+    /// Books how late a timer rings, and tells of it where the process must have stood still.
+    fn note_late(&self, late: Duration) {
+        self.metrics.timer_late_us_most.at_least(late.as_micros() as u64);
+        if late >= STANDSTILL {
+            self.metrics.standstills_total.one();
+            tracing::warn!(?late, "the process stood still: nothing was heard or ordered meanwhile");
+        }
+    }
+
     /// Turns what was taken in into events.
     fn take(&mut self, news: News, events: &mut Vec<Event>) {
         match news {
--- a/crates/wingfold-node/src/list.rs
+++ b/crates/wingfold-node/src/list.rs
@@ -2,7 +2,9 @@
 
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 use wingfold_director::interface::{Entry, HostId, Micros, Readiness, ZoneId};
 
@@ -13,8 +15,46 @@
     pub version: u64,
     /// Whether it is the whole list.
     pub full: bool,
-    /// The entries.
+    /// The entries that could be read.
     pub servers: Vec<Server>,
+    /// Those of an answer that could not.
+    #[serde(skip)]
+    pub unreadable: Vec<UnreadableEntry>,
+}
+
+/// An entry that cannot be read, and why.
+#[derive(Clone, Debug)]
+pub struct UnreadableEntry {
+    /// Its place among the entries, from 0.
+    place: usize,
+    /// The host it names, where that much can be read.
+    host: Option<String>,
+    reason: String,
+}
+
+impl fmt::Display for UnreadableEntry {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        match &self.host {
+            Some(host) => write!(to, "entry {} ({host}): {}", self.place, self.reason),
+            None => write!(to, "entry {}: {}", self.place, self.reason),
+        }
+    }
+}
+
+/// An answer whose entries are still to be read.
+#[derive(Deserialize)]
+struct Envelope<'a> {
+    version: u64,
+    full: bool,
+    #[serde(borrow)]
+    servers: Vec<&'a RawValue>,
+}
+
+/// As much of an entry as tells which host it is about.
+#[derive(Deserialize)]
+struct Named {
+    #[serde(deserialize_with = "name")]
+    id: Arc<str>,
 }
 
 /// One entry.
@@ -56,7 +96,7 @@
 fn within<'de, D: Deserializer<'de>>(from: D, most: f64) -> Result<f64, D::Error> {
     let figure = f64::deserialize(from)?;
     if !(0.0..=most).contains(&figure) {
-        return Err(Error::custom(format!("{figure:e} where 0 to {most} is expected")));
+        return Err(Error::custom(format!("{figure:e} where 0 to {most:e} is expected")));
     }
     Ok(figure)
 }
@@ -82,9 +122,17 @@
 }
 
 impl Listing {
-    /// Reads an answer, all of it or nothing.
+    /// Reads an answer, entry by entry: what is wrong with one is no reason to miss the drains beside it.
     pub fn read(body: &[u8]) -> Result<Listing, serde_json::Error> {
-        serde_json::from_slice(body)
+        let Envelope { version, full, servers: entries } = serde_json::from_slice(body)?;
+        let (mut servers, mut unreadable) = (Vec::with_capacity(entries.len()), Vec::new());
+        for (place, entry) in entries.into_iter().enumerate() {
+            match serde_json::from_str(entry.get()) {
+                Ok(server) => servers.push(server),
+                Err(error) => unreadable.push(UnreadableEntry::new(place, entry, &error)),
+            }
+        }
+        Ok(Listing { version, full, servers, unreadable })
     }
 
     /// The entries in the decision module's terms.
@@ -93,7 +141,20 @@
     }
 }
 
+impl UnreadableEntry {
+    fn new(place: usize, entry: &RawValue, error: &serde_json::Error) -> UnreadableEntry {
+        let named: Result<Named, _> = serde_json::from_str(entry.get());
+        let host = named.ok().map(|named| named.id.to_string());
+        UnreadableEntry { place, host, reason: error.to_string() }
+    }
+}
+
 impl Server {
+    /// Whether it says that the host drains or is gone.
+    pub fn leaves(&self) -> bool {
+        self.state != State::Active
+    }
+
     fn entry(&self) -> Entry {
         let started = (self.started_ms > 0.0).then_some(Micros((self.started_ms * 1e3) as u64));
         Entry {
--- a/crates/wingfold-node/src/metrics.rs
+++ b/crates/wingfold-node/src/metrics.rs
@@ -89,6 +89,7 @@
     list_version: "gauge", "Version of the list held.";
     list_hosts: "gauge", "Hosts on the list held.";
     hosts_known: "gauge", "Hosts whose address is kept: those listed, and those gone that the module still knows.";
+    list_entries_invalid_total: "counter", "Entries of lists that could not be read; only drains beside them are taken.";
     hosts_refused_total: "counter", "Entries of lists refused: the memory holds no more hosts.";
     probes_total: "counter", "Probes sent.";
     probes_failed_total: "counter", "Probes without a good answer.";
@@ -99,6 +100,8 @@
     answers_total: "counter", "Calls of the decision module.";
     answer_us_total: "counter", "Time spent in the decision module and on its orders, in microseconds.";
     events_most: "gauge", "Most events taken into one call of the module.";
+    timer_late_us_most: "gauge", "How late a timer has rung at most, in microseconds.";
+    standstills_total: "counter", "Times that a timer rang a second late or more: the process was stopped, or got no processor time.";
     invariants_broken_total: "counter", "Times that something did not hold that must; see the log.";
     capture_calls_lost_total: "counter", "Calls that the capture did not record: its writer did not keep up.";
     capture_bytes_total: "counter", "Bytes that the capture has written.";
--- a/crates/wingfold/tests/relays.rs
+++ b/crates/wingfold/tests/relays.rs
@@ -129,6 +129,36 @@
     }
 }
 
+#[test]
+fn an_entry_that_cannot_be_read_holds_up_no_drain_beside_it() {
+    // Guards against: a drain that waits, and proxies that go on sending, until somebody mends another host's entry.
+    let ip = own_ip();
+    let host = || Host::start(ip, REPORT).addr;
+    let entries = ["s-1", "s-2", "s-3"].map(|id| server(id, host(), "a"));
+    let discovery = Discovery::start(ip, entries.to_vec());
+    let director = Plan::new(ip, discovery.addr, discovery.known()).start();
+    let mut proxy = director.proxy(0, "a");
+    let mut held = Held::default();
+    held.apply(&proxy.orders());
+    let new = server("s-4", host(), "a");
+    let mut spoilt = new.clone();
+    spoilt["weight"] = json!(-1.0);
+    discovery.list(spoilt);
+    discovery.turn("s-2", "leaving");
+    while held.hosts("order") != ["s-1", "s-3"] {
+        held.apply(&proxy.orders());
+    }
+    until("it is counted", || director.figure("list_entries_invalid_total") > 0);
+    let told = "(s-4): -1e0 where 0 to 1e9 is expected";
+    until("it is told by its place", || director.log().contains(told));
+    assert_eq!(director.figure("list_version"), 3, "the answer is asked for again");
+    // Once it is mended the list goes on.
+    discovery.list(new);
+    while held.hosts("order") != ["s-1", "s-3", "s-4"] {
+        held.apply(&proxy.orders());
+    }
+}
+
 #[test]
 fn discovery_that_nobody_answers_for_keeps_no_director_from_serving() {
     let ip = own_ip();
