--- a/crates/wingfold-director/src/lib.rs
+++ b/crates/wingfold-director/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod cap;
 mod channel;
 pub mod checkpoint;
 mod derived;
@@ -14,6 +15,7 @@
 pub mod inspect;
 pub mod interface;
 pub mod policy;
+mod rank;
 mod roster;
 mod state;
 mod table;
--- a/crates/wingfold-director/src/state.rs
+++ b/crates/wingfold-director/src/state.rs
@@ -1,8 +1,10 @@
 //! What a director remembers: plain records, no decision and no figure. `policy.rs` says what becomes of them.
+use crate::cap::even_cap;
 use crate::channel::Channel;
 pub(crate) use crate::derived::*;
 pub(crate) use crate::health::{HealthRow, Member};
 use crate::interface::*;
+pub(crate) use crate::rank::{median, nth_least};
 pub(crate) use crate::table::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -552,108 +554,3 @@
     }
     arcs
 }
-
-/// The middle one of some values.
-pub(crate) fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
-    let values: Vec<f64> = values.collect();
-    let middle = values.len() / 2;
-    at_rank(values, middle)
-}
-
-/// The `count`th least of some values, or the greatest if there are fewer.
-pub(crate) fn nth_least(values: impl Iterator<Item = f64>, count: usize) -> Option<f64> {
-    let values: Vec<f64> = values.collect();
-    let rank = values.len().min(count).checked_sub(1)?;
-    at_rank(values, rank)
-}
-
-/// The value that would stand at a place if the values were sorted.
-fn at_rank(mut values: Vec<f64>, rank: usize) -> Option<f64> {
-    (rank < values.len()).then(|| *values.select_nth_unstable_by(rank, f64::total_cmp).1)
-}
-
-/// The cap a second on each of some rates that lets `total` through in all: a half or a whole number.
-pub(crate) fn even_cap(rates: &[f64], total: f64) -> f64 {
-    let cap = |step: u64| (step as f64 - 1.0).max(0.5);
-    let enough = |step| rates.iter().map(|rate| let_through(*rate, cap(step))).sum::<f64>() >= total;
-    let mut most = 1;
-    while !enough(most) && most < 1 << 40 {
-        most *= 2;
-    }
-    let mut least = most / 2;
-    while most - least > 1 {
-        let middle = (least + most) / 2;
-        (least, most) = if enough(middle) { (least, middle) } else { (middle, most) };
-    }
-    cap(most)
-}
-
-/// What a cap lets through of requests that come by chance at a rate: well under the rate where few come, since a
-/// second has two as often as none.
-fn let_through(rate: f64, cap: f64) -> f64 {
-    if rate <= 0.0 || cap <= 0.0 {
-        return 0.0;
-    }
-    if cap < 1.0 {
-        return cap * (1.0 - (-rate / cap).exp());
-    }
-    if rate > 50.0 {
-        return rate.min(cap);
-    }
-    // The mean of the lesser of a Poisson count and the cap.
-    let (mut chance, mut more, mut passed) = ((-rate).exp(), 1.0, 0.0);
-    for count in 0..200 {
-        more -= chance;
-        passed += more.max(0.0) * (cap - f64::from(count)).clamp(0.0, 1.0);
-        chance *= rate / f64::from(count + 1);
-        if f64::from(count) >= cap || more < 1e-9 {
-            break;
-        }
-    }
-    passed
-}
-
-#[cfg(test)]
-mod tests {
-    use super::even_cap;
-
-    /// Seconds of requests that come by chance at each rate: the share that a cap lets through.
-    fn passed(rates: &[f64], cap: f64) -> f64 {
-        let mut state = 7u64;
-        let mut chance = || {
-            state = state.wrapping_mul(0x5851_F42D_4C95_7F2D).wrapping_add(0x1405_7B7E_F767_814F);
-            (state >> 11) as f64 / (1u64 << 53) as f64
-        };
-        let (mut came, mut let_in) = (0.0, 0.0);
-        // A cap below one a second lets one request in as often as it says.
-        let span = f64::max(1.0, 1.0 / cap);
-        for rate in rates {
-            for _ in 0..4000 {
-                let (mut count, mut left) = (0.0, (-rate * span).exp());
-                let mut product = chance();
-                while product > left {
-                    (count, product) = (count + 1.0, product * chance());
-                }
-                left = f64::min(count, (cap * span).floor().max(1.0));
-                (came, let_in) = (came + count, let_in + left);
-            }
-        }
-        let_in / came
-    }
-
-    #[test]
-    fn a_cap_lets_through_what_was_meant_where_few_requests_come_to_each() {
-        for rates in [vec![0.2, 0.4, 0.5, 0.9], vec![3.0, 5.0], vec![20.0, 30.0], vec![0.3, 0.5, 12.0]] {
-            let all: f64 = rates.iter().sum();
-            for share in [0.7, 0.85, 0.9] {
-                let cap = even_cap(&rates, share * all);
-                let through = passed(&rates, cap);
-                assert!(
-                    through > share - 0.05,
-                    "{share} meant, {through:.2} let through by {cap} of {rates:?}"
-                );
-            }
-        }
-        assert_eq!(even_cap(&[0.0, 0.0], 0.0), 0.5, "nobody comes");
-    }
-}
