--- a/crates/wingfold/tests/relays.rs
+++ b/crates/wingfold/tests/relays.rs
@@ -2,14 +2,34 @@
 
 mod common;
 
-use common::{free, own_ip, server, settings, until, Discovery, Held, Host, Mood, Plan};
+use common::{free, own_ip, server, settings, until, Client, Director, Discovery, Held, Host, Mood, Plan};
 use serde_json::json;
-use std::net::UdpSocket;
+use std::net::{IpAddr, UdpSocket};
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 const REPORT: Option<&str> = Some(r#"{"util":0.2,"inflight":1,"later":"x"}"#);
 
+/// A director of three hosts, and a proxy with its first table.
+struct Served {
+    ip: IpAddr,
+    discovery: Discovery,
+    director: Director,
+    proxy: Client,
+    held: Held,
+}
+
+fn served() -> Served {
+    let ip = own_ip();
+    let entries = ["s-1", "s-2", "s-3"].map(|id| server(id, Host::start(ip, REPORT).addr, "a"));
+    let discovery = Discovery::start(ip, entries.to_vec());
+    let director = Plan::new(ip, discovery.addr, discovery.known()).start();
+    let mut proxy = director.proxy(0, "a");
+    let mut held = Held::default();
+    held.apply(&proxy.orders());
+    Served { ip, discovery, director, proxy, held }
+}
+
 #[test]
 fn a_drain_that_the_watch_tells_takes_the_host_out() {
     let ip = own_ip();
@@ -92,14 +112,7 @@
 #[test]
 fn a_list_out_of_the_past_or_of_nobody_brings_no_draining_host_back_and_empties_no_table() {
     // Guards against: a discovery that misbehaves by answering, late and from an older time, or before it knows anybody.
-    let ip = own_ip();
-    let host = || Host::start(ip, REPORT).addr;
-    let entries = ["s-1", "s-2", "s-3"].map(|id| server(id, host(), "a"));
-    let discovery = Discovery::start(ip, entries.to_vec());
-    let director = Plan::new(ip, discovery.addr, discovery.known()).start();
-    let mut proxy = director.proxy(0, "a");
-    let mut held = Held::default();
-    held.apply(&proxy.orders());
+    let Served { ip, discovery, director, mut proxy, mut held } = served();
     discovery.turn("s-2", "leaving");
     while held.hosts("order") != ["s-1", "s-3"] {
         held.apply(&proxy.orders());
@@ -116,7 +129,7 @@
         assert_eq!(director.figure("list_version"), 4, "{mood:?}");
     }
     discovery.mood(Mood::Good);
-    discovery.list(server("s-4", host(), "a"));
+    discovery.list(server("s-4", Host::start(ip, REPORT).addr, "a"));
     while !held.hosts("order").contains(&"s-4") {
         held.apply(&proxy.orders());
         assert!(held.hosts("order").starts_with(&["s-1", "s-3"]), "{:?}", held.hosts("order"));
@@ -132,15 +145,8 @@
 #[test]
 fn an_entry_that_cannot_be_read_holds_up_no_drain_beside_it() {
     // Guards against: a drain that waits, and proxies that go on sending, until somebody mends another host's entry.
-    let ip = own_ip();
-    let host = || Host::start(ip, REPORT).addr;
-    let entries = ["s-1", "s-2", "s-3"].map(|id| server(id, host(), "a"));
-    let discovery = Discovery::start(ip, entries.to_vec());
-    let director = Plan::new(ip, discovery.addr, discovery.known()).start();
-    let mut proxy = director.proxy(0, "a");
-    let mut held = Held::default();
-    held.apply(&proxy.orders());
-    let new = server("s-4", host(), "a");
+    let Served { ip, discovery, director, mut proxy, mut held } = served();
+    let new = server("s-4", Host::start(ip, REPORT).addr, "a");
     let mut spoilt = new.clone();
     spoilt["weight"] = json!(-1.0);
     discovery.list(spoilt);
