--- a/review/standins/case2.rs
+++ b/review/standins/case2.rs
@@ -1,4 +1,4 @@
-//! One proxy's stream breaks a few times while the fleet is replaced slowly.
+//! The streams of two proxies, one at each director, break a few times while the fleet is replaced slowly.
 mod deploy;
 mod world;
 use std::thread;
@@ -7,6 +7,8 @@
 const HOSTS: usize = 28;
 const AT_A_TIME: usize = 5;
 const ROUND_MS: u64 = 5333;
+/// One at each director.
+const FLAPPING: [usize; 2] = [0, 1];
 
 fn main() {
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
@@ -23,12 +25,11 @@
         let w = world.clone();
         thread::spawn(move || {
             thread::sleep(ms(700));
-            for _ in 0..2 {
-                for _ in 0..5 {
-                    w.break_stream(0);
-                    thread::sleep(ms(900));
+            for _ in 0..5 {
+                for proxy in FLAPPING {
+                    w.break_stream(proxy);
                 }
-                thread::sleep(ms(2 * ROUND_MS - 4500));
+                thread::sleep(ms(900));
             }
         });
     }
