--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -343,11 +343,19 @@
     state: Mutex<DiscoveryState>,
     changed: Condvar,
     record: Arc<Record>,
+    closed: Mutex<BTreeSet<SocketAddr>>,
+    open: Mutex<Vec<(SocketAddr, TcpStream)>>,
 }
 
 impl Discovery {
     pub fn new(record: Arc<Record>) -> Arc<Discovery> {
-        Arc::new(Discovery { state: Mutex::default(), changed: Condvar::new(), record })
+        Arc::new(Discovery {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            record,
+            closed: Mutex::default(),
+            open: Mutex::default(),
+        })
     }
 
     /// Changes entries; all get one new version of the list.
@@ -365,7 +373,7 @@
     pub fn set_state(&self, ids: &[&str], host_state: &'static str) {
         let entries: Vec<Entry> = {
             let state = self.state.lock().unwrap();
-            ids.iter().map(|id| Entry { state: host_state, ..state.entries[*id].1.clone() }).collect()
+            ids.iter().filter_map(|id| state.entries.get(*id)).map(|e| Entry { state: host_state, ..e.1.clone() }).collect()
         };
         self.change(entries);
     }
@@ -404,7 +412,9 @@
     pub fn tell_known(&self, director: usize) {
         let now = Instant::now();
         let mut state = self.state.lock().unwrap();
-        let entries: Vec<Entry> = state.entries.values().map(|e| e.1.clone()).collect();
+        state.told.retain(|(d, _), _| *d != director);
+        let entries: Vec<Entry> =
+            state.entries.values().map(|e| e.1.clone()).filter(|e| e.state != "left").collect();
         for e in entries {
             let told = Told { state: e.state, zone: e.zone.clone(), started_ms: e.started_ms, at: now };
             state.told.insert((director, e.id), told);
@@ -418,13 +428,33 @@
         let this = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if this.closed.lock().unwrap().contains(&addr) {
+                    return;
+                }
                 let this = this.clone();
+                this.open.lock().unwrap().push((addr, stream.try_clone().unwrap()));
                 thread::spawn(move || this.serve(stream, director));
             }
         });
         addr
     }
 
+    /// An address accepts no new connection from now on, and its open ones are closed after 1.5 s.
+    pub fn close(self: &Arc<Self>, addr: SocketAddr) {
+        self.closed.lock().unwrap().insert(addr);
+        let _ = TcpStream::connect(addr);
+        let this = self.clone();
+        thread::spawn(move || {
+            thread::sleep(ms(1500));
+            this.open.lock().unwrap().retain(|(at, stream)| {
+                if *at == addr {
+                    let _ = stream.shutdown(std::net::Shutdown::Both);
+                }
+                *at != addr
+            });
+        });
+    }
+
     fn serve(&self, stream: TcpStream, director: usize) {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().unwrap());
@@ -617,7 +647,7 @@
 pub struct Director {
     pub index: usize,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    pub discovery: Mutex<SocketAddr>,
     pub config: PathBuf,
     pub child: Mutex<Option<Child>>,
     pub answered_at: Mutex<Instant>,
@@ -636,7 +666,7 @@
         Director {
             index,
             listen: free_addr(),
-            discovery,
+            discovery: Mutex::new(discovery),
             config,
             child: Mutex::new(None),
             answered_at: Mutex::new(Instant::now()),
@@ -675,7 +705,7 @@
             .env("GW_CONFIG", &self.config)
             .env("GW_NAME", format!("n{}", self.index))
             .env("GW_LISTEN", self.listen.to_string())
-            .env("GW_DISCOVERY", self.discovery.to_string())
+            .env("GW_DISCOVERY", self.discovery.lock().unwrap().to_string())
             .env("TMPDIR", &self.tmp)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
@@ -808,6 +838,11 @@
 
 impl World {
     pub fn new(site: Site, case: &str) -> Arc<World> {
+        // A fault of the test itself is no broken rule; the directors end with this process.
+        std::panic::set_hook(Box::new(|info| {
+            eprintln!("the test has failed: {info}");
+            std::process::exit(2);
+        }));
         let exe = std::env::current_exe().unwrap();
         // review/target/NAME
         let root = exe.ancestors().nth(3).unwrap().to_path_buf();
@@ -900,7 +935,7 @@
 
     pub fn start_directors(&self) {
         for director in &self.directors {
-            director.write_config(&self.site, director.discovery, &self.discovery.known());
+            director.write_config(&self.site, *director.discovery.lock().unwrap(), &self.discovery.known());
             self.discovery.tell_known(director.index);
             if !director.start() {
                 self.could_not_run("a director did not become ready");
@@ -927,6 +962,31 @@
         }
     }
 
+    /// Ends a director by a signal and starts it again with the list as it is.
+    pub fn restart_director(&self, index: usize, signal: i32, pause: Duration) {
+        let director = &self.directors[index];
+        director.signal(signal);
+        thread::sleep(ms(700));
+        director.end();
+        thread::sleep(pause);
+        director.write_config(&self.site, *director.discovery.lock().unwrap(), &self.discovery.known());
+        self.discovery.tell_known(index);
+        if !director.start() {
+            self.record.broken(&format!("director {index} is not ready within 30 s"));
+        }
+    }
+
+    /// Moves discovery for one director to a new address, by a new configuration and SIGHUP; the old address
+    /// accepts nothing any more and closes its connections after 1.5 s.
+    pub fn move_discovery(&self, index: usize) {
+        let director = &self.directors[index];
+        let new = self.discovery.listen(index);
+        let old = std::mem::replace(&mut *director.discovery.lock().unwrap(), new);
+        director.write_config(&self.site, new, &self.discovery.known());
+        director.signal(SIGHUP);
+        self.discovery.close(old);
+    }
+
     /// Starts the streams, collectors, traffic and checks.
     pub fn start_traffic(self: &Arc<Self>) {
         for proxy in self.proxies.clone() {
@@ -1577,3 +1637,39 @@
         ..coastline(proxies, requests_per_s)
     }
 }
+
+/// The Nile Delta farm game (`kit/sites/delta-farm-game.toml`), with figures inside its ranges.
+pub fn delta_farm(proxies: usize, requests_per_s: f64) -> Site {
+    let class = |name, share, goal, deadline, gain, repeat| Class {
+        name, share, goal, deadline, gain, repeat, group: "all", window: 5000, late_value: 0.1, write: false, home_only: false,
+    };
+    Site {
+        zones: vec!["hall-a", "hall-b", "hall-c", "hall-d"],
+        classes: vec![
+            class("view-plot", 0.46, 750, 2000, 3.0, "idempotent"),
+            class("save-plot", 0.45, 1000, 2500, 3.0, "idempotent"),
+            class("sell-harvest", 0.09, 750, 2500, 9.0, "at_most_once"),
+        ],
+        pushed: false,
+        admit: "silent",
+        egress_per_s: 12_000.0,
+        pending_max: 12_000.0,
+        period: 500,
+        push_delay: 225,
+        transit_max: 560,
+        reports_per_s: 100.0,
+        retry_default: 1,
+        update_cap: 0,
+        probing: false,
+        ask_within: 10_000,
+        cold: 14_000,
+        drain_grace: 3000,
+        overload_factor: 4.0,
+        overload_for: 3000,
+        start_capacity: 0.18,
+        directors: 1,
+        weights: "silent",
+        redial: (600, 2400),
+        ..coastline(proxies, requests_per_s)
+    }
+}
