Keep messages of the limit for drains that go on, and gather drains as it nears

Cause: each list was evaluated at once and each removal sent at once in a message of its own, however few messages the window had left (push.rs: select_missing_changes; send_capacity.rs: may_get_message). Drains had the whole limit, but nothing of it was kept for later ones, and changes of health and weight took from it as well.

Evidence: the record of proxy 19 shows twelve messages from 12.06 to 19.32 s, ten of them removing one host each; s-12 is listed as leaving at 19.48 s and its removal is sent at 22.16 s, when the first is 10 s old. The channel held 340 of 8,500 lines at most, so neither the queue nor the send capacity was what it waited for.

Change: policy/message_limit.rs. A change of a table is sent only if the messages left after it suffice for one removal after each longest wait while earlier messages count; else it goes with the next message. A removal waits until the longest push delay, the queue and 50 ms just fit into the grace, may then use the whole limit, and an evaluation is scheduled for that moment, since the regular ones are 250 ms apart. Messages are thus never closer than the rule can bear for as long as hosts drain. A drain after a pause goes at once. Hosts have a new stored field, unready_at, left out while it is empty: checkpoints of earlier builds are read and written byte by byte as before. Without a limit on messages no decision differs.

--- a/crates/wingfold-director/src/director.rs
+++ b/crates/wingfold-director/src/director.rs
@@ -136,11 +136,14 @@
         for event in events {
             self.apply_event(event);
         }
-        if self.is_evaluation_due() {
+        let is_due = self.is_evaluation_due();
+        let timer_at = self.next_evaluation_at;
+        self.schedule_next_evaluation();
+        if is_due {
             self.evaluate(actions);
         }
         actions.extend(self.notices.drain(..).map(Action::Notice));
-        self.set_next_timer(actions);
+        self.set_next_timer(timer_at, actions);
     }
 
     /// Updates the state by one event.
@@ -210,10 +213,16 @@
         self.next_admission_update_at = self.seconds_from_now(ADMISSION_INTERVAL_S);
     }
 
-    /// Schedules the next evaluation and its timer, if the time of the scheduled one has come.
-    fn set_next_timer(&mut self, actions: &mut Vec<Action>) {
+    /// Schedules the next evaluation if the time of the scheduled one has come.
+    fn schedule_next_evaluation(&mut self) {
         if self.now >= self.next_evaluation_at {
             self.next_evaluation_at = self.seconds_from_now(EVALUATION_INTERVAL_S);
+        }
+    }
+
+    /// Sets a timer for the next evaluation, unless it is still the one that the last timer was set for.
+    fn set_next_timer(&self, timer_at: Timestamp, actions: &mut Vec<Action>) {
+        if self.next_evaluation_at != timer_at {
             actions.push(Action::SetTimer { at: self.next_evaluation_at, token: 0 });
         }
     }
--- a/crates/wingfold-director/src/policy/assignment.rs
+++ b/crates/wingfold-director/src/policy/assignment.rs
@@ -1,6 +1,7 @@
 //! Assignment of connected proxies to subsets, and so to the tables of these subsets.
 use crate::director::Director;
 use crate::interface::{Action, ClassMask, ProxyId, ZoneId};
+use crate::policy::message_limit::MessageBudget;
 use crate::policy::send_capacity::PushPriority;
 use crate::state::{ByZone, Table, Zone};
 use std::collections::BTreeMap;
@@ -34,7 +35,8 @@
             // would receive no further changes of that table.
             let lines = tables.iter().map(Table::full_lines).sum();
             let all_are_empty = tables.iter().all(|table| table.entries.is_empty());
-            if all_are_empty || !self.has_capacity(PushPriority::ASSIGNMENT, lines, &[id]) {
+            let budget = MessageBudget::Full;
+            if all_are_empty || !self.has_capacity(PushPriority::ASSIGNMENT, budget, lines, &[id]) {
                 continue;
             }
             loads[subset] += requests_per_s;
--- a/crates/wingfold-director/src/policy/endpoint_list.rs
+++ b/crates/wingfold-director/src/policy/endpoint_list.rs
@@ -83,6 +83,7 @@
             consecutive_useless: 0.0,
             removal_suspected: false,
             removed_at: None,
+            not_ready_since: self.not_ready_since(endpoint, known),
         };
         if host.is_ready() && !is_same_process {
             self.reset_started_host(&endpoint.host, is_new);
@@ -90,6 +91,14 @@
         self.hosts.insert(endpoint.host.clone(), host);
     }
 
+    /// Since when the list has shown that a host must not be sent new requests; `None` if the host is ready.
+    fn not_ready_since(&self, endpoint: &Endpoint, known: Option<&Host>) -> Option<Timestamp> {
+        if endpoint.readiness == Readiness::Ready {
+            return None;
+        }
+        known.and_then(|known| known.not_ready_since).or(Some(self.now))
+    }
+
     /// The weight that the list gives a host, corrected by the relative speed of its machine type. A weight
     /// that is not a positive number counts as 1.
     fn listed_weight(&self, endpoint: &Endpoint) -> f64 {
@@ -198,6 +207,7 @@
         host.removal_suspected = true;
     } else {
         host.endpoint.readiness = Readiness::Removed;
+        host.not_ready_since.get_or_insert(now);
     }
 }
 
--- /dev/null
+++ b/crates/wingfold-director/src/policy/message_limit.rs
@@ -0,0 +1,120 @@
+//! The limit on the messages to one proxy, and how long the removal of a draining host may wait, so that one
+//! message removes several hosts.
+//!
+//! Hosts may drain one after another for as long as a deployment takes. Each removal must reach its proxies
+//! within the drain grace, while the limit admits only so many messages within its window. A message is
+//! therefore sent at once only if the messages that remain suffice for a removal after each longest wait, for
+//! as long as earlier messages count.
+use crate::director::Director;
+use crate::interface::{Micros, ProxyId, Timestamp};
+use crate::policy::send_capacity::PushPriority;
+use crate::state::EntryChange;
+use std::collections::VecDeque;
+
+/// Seconds of the drain grace that a removal does not wait, for timers that fire late.
+const TIMER_DELAY_S: f64 = 0.05;
+
+/// Which of the messages that the limit admits a push may use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum MessageBudget {
+    /// Those that later removals of draining hosts do not need.
+    Surplus,
+    /// All of them, since the push cannot wait any longer.
+    Full,
+}
+
+/// The limit on the messages to one proxy.
+pub(crate) struct MessageLimit {
+    /// Messages to one proxy that are admitted within the window.
+    max_messages: f64,
+    /// Length of the window in seconds.
+    window_s: f64,
+    /// Seconds between two messages to one proxy if hosts drain all the time.
+    drain_interval_s: f64,
+}
+
+impl MessageLimit {
+    /// Whether another message may be sent to a proxy now, after those at `send_times`, oldest first.
+    pub(crate) fn admits(
+        &self,
+        now: Timestamp,
+        send_times: &VecDeque<Timestamp>,
+        priority: PushPriority,
+        budget: MessageBudget,
+    ) -> bool {
+        let ages = send_times.iter().rev().map(|sent_at| now.since(*sent_at));
+        let recent_ages: Vec<f64> = ages.filter(|age_s| *age_s <= self.window_s).collect();
+        let is_within_ratio = recent_ages.len() as f64 + 1.0 <= priority.message_ratio() * self.max_messages;
+        is_within_ratio && (budget == MessageBudget::Full || self.has_surplus(&recent_ages))
+    }
+
+    /// Whether a message that is sent now leaves enough messages for later removals. `recent_ages` are the
+    /// ages in seconds of the messages within the window, newest first.
+    fn has_surplus(&self, recent_ages: &[f64]) -> bool {
+        recent_ages.iter().enumerate().all(|(newer_messages, age_s)| {
+            let removals_until_expiry = ((self.window_s - age_s) / self.drain_interval_s).floor();
+            let sent_messages = newer_messages as f64 + 2.0;
+            sent_messages + removals_until_expiry <= self.max_messages
+        })
+    }
+}
+
+impl Director {
+    /// The limit on the messages to one proxy while messages have `lines` lines; `None` if the settings have
+    /// no limit.
+    pub(crate) fn message_limit(&self, lines: usize) -> Option<MessageLimit> {
+        let max_messages = f64::from(self.settings.max_messages_per_proxy);
+        if max_messages == 0.0 {
+            return None;
+        }
+        let window_s = self.settings.message_window.secs();
+        let drain_interval_s = self.longest_drain_wait_s(lines).max(window_s / max_messages);
+        Some(MessageLimit { max_messages, window_s, drain_interval_s })
+    }
+
+    /// Seconds for which a removal may wait after the endpoint list has shown that a host drains: what is
+    /// left of the drain grace if all proxies are sent a message of `lines` lines.
+    pub(crate) fn longest_drain_wait_s(&self, lines: usize) -> f64 {
+        let new_lines = (lines as f64 + self.lines_per_message()) * self.proxies.len() as f64;
+        let queueing_s = (self.send_queue.queued_lines + new_lines) / self.drain_rate_per_s();
+        let delivery_s = queueing_s + self.settings.max_push_delay.secs();
+        (self.settings.drain_grace.secs() - delivery_s - TIMER_DELAY_S).max(0.0)
+    }
+
+    /// When the first removal of a draining host among `changes` must be sent in a message of `lines` lines;
+    /// `None` if there is no such removal, or no limit that a removal would wait for.
+    pub(crate) fn drain_due_at(&self, changes: &[EntryChange], lines: usize) -> Option<Timestamp> {
+        if self.settings.max_messages_per_proxy == 0 {
+            return None;
+        }
+        let removals = changes.iter().filter(|change| change.lowers_weight());
+        let draining = removals.map(|change| &self.hosts[&change.host]).filter(|host| !host.is_ready());
+        let first_told_at = draining.map(|host| host.not_ready_since.unwrap_or_default()).min()?;
+        Some(first_told_at + Micros::from_secs(self.longest_drain_wait_s(lines)))
+    }
+
+    /// The messages that a push may use if it must be sent by `due_at`; `None` if it may wait.
+    pub(crate) fn message_budget(&self, due_at: Option<Timestamp>) -> MessageBudget {
+        if due_at.is_some_and(|due_at| due_at <= self.now) {
+            MessageBudget::Full
+        } else {
+            MessageBudget::Surplus
+        }
+    }
+
+    /// Schedules an evaluation for the time at which a removal that waits is due.
+    pub(crate) fn evaluate_drain_by(&mut self, due_at: Option<Timestamp>) {
+        let Some(due_at) = due_at.filter(|due_at| *due_at > self.now) else { return };
+        self.next_evaluation_at = self.next_evaluation_at.min(due_at);
+    }
+
+    /// Records that a message is sent to a proxy now. No more send times are kept than the limit on messages
+    /// to one proxy.
+    pub(crate) fn record_send_time(&mut self, id: ProxyId) {
+        let max_messages = self.settings.max_messages_per_proxy as usize;
+        let Some(proxy) = self.proxies.get_mut(&id) else { return };
+        proxy.send_times.push_back(self.now);
+        let surplus = proxy.send_times.len().saturating_sub(max_messages);
+        proxy.send_times.drain(..surplus);
+    }
+}
--- a/crates/wingfold-director/src/policy/mod.rs
+++ b/crates/wingfold-director/src/policy/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod health_checks;
 pub(crate) mod load_reports;
 pub(crate) mod locality;
+pub(crate) mod message_limit;
 pub(crate) mod outlier_detection;
 pub(crate) mod push;
 pub(crate) mod ranking;
--- a/crates/wingfold-director/src/policy/push.rs
+++ b/crates/wingfold-director/src/policy/push.rs
@@ -1,7 +1,8 @@
 //! Scheduling of table changes: which ones are sent in an evaluation, by priority and send capacity.
 use crate::director::Director;
 use crate::incremental::{TableInputs, ZoneTableInputs, NEVER};
-use crate::interface::{Action, ClassId, ProxyId, Retry};
+use crate::interface::{Action, ClassId, ProxyId, Retry, Timestamp};
+use crate::policy::message_limit::MessageBudget;
 use crate::policy::outlier_detection::COMMON_LOSS_RATIO;
 use crate::policy::ranking::RANKING_COOLDOWN_S;
 use crate::policy::send_capacity::{PushPriority, BARRIER_INTERVAL_RATIO};
@@ -79,6 +80,8 @@
     plan: &'a TablePlan<'a>,
     /// All changes that are not sent yet, except new standby entries.
     missing: TableChanges,
+    /// When the first removal of a draining host among `missing` must be sent, if there is one.
+    drain_due_at: Option<Timestamp>,
     /// New standby entries.
     standby: Vec<EntryChange>,
     /// The admission levels that the table should hold.
@@ -140,15 +143,21 @@
         let plan = self.plan_table(zone, zone_inputs, group, subset, table.peak_weight);
         let levels = self.planned_admission_levels(zone_inputs, group);
         let proxies = &zone_inputs.proxies_by_subset[subset_index];
+        let missing = table.changes_to(&plan, conditions.with_standby, &levels, WEIGHT_CHANGE_RATIO);
+        let drain_due_at = self.drain_due_at(&missing.entries, missing.len());
         let pending = PendingPush {
             proxies,
             plan: &plan,
-            missing: table.changes_to(&plan, conditions.with_standby, &levels, WEIGHT_CHANGE_RATIO),
+            missing,
+            drain_due_at,
             standby: if conditions.with_standby { plan.missing_standby_entries(table) } else { Vec::new() },
             admission_levels: levels,
         };
         let is_empty = pending.is_empty();
-        let Some(push) = self.select_push(zone, zone_inputs, &conditions, pending) else { return };
+        let Some(push) = self.select_push(zone, zone_inputs, &conditions, pending) else {
+            self.evaluate_drain_by(drain_due_at);
+            return;
+        };
         if push.replaces_table {
             zone.standby_paused_until = self.seconds_from_now(RANKING_COOLDOWN_S);
         }
@@ -271,22 +280,23 @@
         pending: PendingPush,
     ) -> Option<TablePush> {
         let replacement_lines = pending.replacement_lines();
-        let PendingPush { proxies, plan, missing, admission_levels, .. } = pending;
+        let PendingPush { proxies, plan, missing, drain_due_at, admission_levels, .. } = pending;
         // A table without proxies costs nothing, and must be complete before a proxy is assigned to it.
         if missing.is_empty() || proxies.is_empty() {
             return Some(TablePush::update(missing));
         }
         let priority = self.most_urgent_priority(zone, &missing.entries, conditions.least_priority);
+        let budget = self.message_budget(drain_due_at);
         let is_replacement_shorter = replacement_lines < missing.len();
         let prefers_replacement =
             is_replacement_shorter && (conditions.is_join_burst || priority == PushPriority::DRAIN);
-        if !prefers_replacement && self.has_capacity(priority, missing.len(), proxies) {
+        if !prefers_replacement && self.has_capacity(priority, budget, missing.len(), proxies) {
             return Some(TablePush::update(missing));
         }
-        if is_replacement_shorter && self.has_capacity(priority, replacement_lines, proxies) {
+        if is_replacement_shorter && self.has_capacity(priority, budget, replacement_lines, proxies) {
             return Some(TablePush::replacement(plan, admission_levels));
         }
-        self.select_urgent_changes(zone, missing.entries, priority, proxies)
+        self.select_urgent_changes(zone, missing.entries, priority, budget, proxies)
     }
 
     /// Only the most urgent changes, if the send capacity admits them. New entries are sent along with these,
@@ -296,10 +306,12 @@
         zone: &Zone,
         mut entries: Vec<EntryChange>,
         priority: PushPriority,
+        budget: MessageBudget,
         proxies: &[ProxyId],
     ) -> Option<TablePush> {
         entries.retain(|change| change.adds_entry() || self.change_priority(zone, change) == priority);
-        if priority == PushPriority::ORDINARY || !self.has_capacity(priority, entries.len(), proxies) {
+        if priority == PushPriority::ORDINARY || !self.has_capacity(priority, budget, entries.len(), proxies)
+        {
             return None;
         }
         Some(TablePush::update(TableChanges { entries, admission_levels: Vec::new() }))
@@ -313,7 +325,7 @@
         proxies: &[ProxyId],
     ) {
         let lines = changes.len();
-        if !self.has_capacity(PushPriority::STANDBY, lines + 1, proxies) {
+        if !self.has_capacity(PushPriority::STANDBY, MessageBudget::Surplus, lines + 1, proxies) {
             return;
         }
         let free_lines = self.in_flight_limit(PushPriority::STANDBY) - self.send_queue.queued_lines;
--- a/crates/wingfold-director/src/policy/send_capacity.rs
+++ b/crates/wingfold-director/src/policy/send_capacity.rs
@@ -3,7 +3,8 @@
 //! The size of a message is counted in lines, as the settings limit it: each table entry, admission level
 //! and barrier is one line, and each message adds a fixed overhead.
 use crate::director::Director;
-use crate::interface::{Action, Micros, ProxyId, Timestamp};
+use crate::interface::{Action, Micros, ProxyId};
+use crate::policy::message_limit::MessageBudget;
 
 /// Ratio of the in-flight limit that is sent without a barrier before messages carry the next one.
 pub(crate) const BARRIER_INTERVAL_RATIO: f64 = 0.02;
@@ -49,6 +50,11 @@
     /// A standby entry is added.
     pub(crate) const STANDBY: PushPriority = PushPriority { in_flight_ratio: 0.1, message_ratio: 0.25 };
 
+    /// Ratio of the limit on messages to one proxy that may be reached within the message window.
+    pub(crate) fn message_ratio(self) -> f64 {
+        self.message_ratio
+    }
+
     /// The more urgent of two priorities.
     pub(crate) fn most_urgent(self, other: PushPriority) -> PushPriority {
         if other > self {
@@ -80,23 +86,33 @@
     }
 
     /// Whether `lines` lines may be sent to each of `proxies` now.
-    pub(crate) fn has_capacity(&self, priority: PushPriority, lines: usize, proxies: &[ProxyId]) -> bool {
+    pub(crate) fn has_capacity(
+        &self,
+        priority: PushPriority,
+        budget: MessageBudget,
+        lines: usize,
+        proxies: &[ProxyId],
+    ) -> bool {
         let new_lines = (lines as f64 + self.lines_per_message()) * proxies.len() as f64;
         self.send_queue.queued_lines + new_lines <= self.in_flight_limit(priority)
-            && proxies.iter().all(|proxy| self.may_get_message(priority, *proxy))
+            && self.may_get_messages(priority, budget, lines, proxies)
     }
 
-    /// Whether the limit on the messages to one proxy admits another message. Lines for a proxy that already
-    /// gets a message in this evaluation are added to that message, which the limit always admits.
-    fn may_get_message(&self, priority: PushPriority, proxy: ProxyId) -> bool {
-        let max_messages = priority.message_ratio * self.settings.max_messages_per_proxy as f64;
-        if max_messages == 0.0 || self.pending_messages.contains_key(&proxy) {
-            return true;
-        }
-        let window_s = self.settings.message_window.secs();
-        let is_recent = |sent_at: &&Timestamp| self.now.since(**sent_at) <= window_s;
-        let recent_messages = self.proxies[&proxy].send_times.iter().filter(is_recent).count() as f64;
-        recent_messages + 1.0 <= max_messages
+    /// Whether the limit on the messages to one proxy admits another message of `lines` lines to each of
+    /// `proxies`. Lines for a proxy that already gets a message in this evaluation are added to that message,
+    /// which the limit always admits.
+    fn may_get_messages(
+        &self,
+        priority: PushPriority,
+        budget: MessageBudget,
+        lines: usize,
+        proxies: &[ProxyId],
+    ) -> bool {
+        let Some(limit) = self.message_limit(lines) else { return true };
+        proxies.iter().filter(|proxy| !self.pending_messages.contains_key(proxy)).all(|proxy| {
+            let send_times = &self.proxies[proxy].send_times;
+            limit.admits(self.now, send_times, priority, budget)
+        })
     }
 
     /// Lines that each message counts for in addition to its changes: its overhead, and one line for a
@@ -121,16 +137,6 @@
         }
     }
 
-    /// Records that a message is sent to a proxy now. No more send times are kept than the limit on messages
-    /// to one proxy.
-    fn record_send_time(&mut self, id: ProxyId) {
-        let max_messages = self.settings.max_messages_per_proxy as usize;
-        let Some(proxy) = self.proxies.get_mut(&id) else { return };
-        proxy.send_times.push_back(self.now);
-        let surplus = proxy.send_times.len().saturating_sub(max_messages);
-        proxy.send_times.drain(..surplus);
-    }
-
     /// Completes the messages of this evaluation. Each carries a barrier once more than `barrier_interval`
     /// lines have been sent without one.
     pub(crate) fn finish_messages(&mut self, barrier_interval: f64, out: &mut Vec<Action>) {
--- a/crates/wingfold-director/src/state/host.rs
+++ b/crates/wingfold-director/src/state/host.rs
@@ -26,6 +26,10 @@
     /// the host as ready or draining since.
     #[serde(rename = "gone_at")]
     pub(crate) removed_at: Option<Timestamp>,
+    /// When the endpoint list first showed that the host must not be sent new requests; `None` if the host is
+    /// ready.
+    #[serde(default, rename = "unready_at", skip_serializing_if = "Option::is_none")]
+    pub(crate) not_ready_since: Option<Timestamp>,
 }
 
 impl Host {
