Let assignments keep messages for drains, so that one proxy holds up no subset

Cause: a table's change goes to all proxies of a subset or to none, and each new stream cost its proxy a message at once, up to nine tenths of the limit (assignment.rs, PushPriority::ASSIGNMENT). A proxy that reconnects often had two messages left for ten seconds of drains, and the third drain waited for its whole subset; beyond nine tenths the proxy itself waited for its tables.

A proxy with twelve streams 0.3 s apart got its tables 7.0 s after the last began.

Change: an assignment is sent if the messages left after it suffice for later removals, or when it is due: when the longest push delay and the queue just fit into the grace, counted from the stream's start; it may then use the whole limit. While removals wait in the subset it waits with them, and if it is due first they go along: one message does for both. Without a limit on messages no decision differs.

--- a/crates/wingfold-director/src/policy/assignment.rs
+++ b/crates/wingfold-director/src/policy/assignment.rs
@@ -1,5 +1,6 @@
 //! Assignment of connected proxies to subsets, and so to the tables of these subsets.
 use crate::director::Director;
+use crate::incremental::ZoneTableInputs;
 use crate::interface::{Action, ClassMask, ProxyId, ZoneId};
 use crate::policy::message_limit::MessageBudget;
 use crate::policy::send_capacity::PushPriority;
@@ -14,12 +15,17 @@
     (0..loads.len()).min_by(|one, other| loads[*one].total_cmp(&loads[*other]))
 }
 
+/// Lines of a message that assigns all of `tables`.
+fn full_lines(tables: &[Table]) -> usize {
+    tables.iter().map(Table::full_lines).sum()
+}
+
 impl Director {
-    /// Assigns each waiting proxy to the subset with the least load in its zone. A proxy keeps waiting while
-    /// all tables of that subset are empty, or while they exceed the send capacity.
+    /// Assigns each waiting proxy to the subset with the least load in its zone.
     pub(crate) fn assign_proxies(
         &mut self,
-        zones: &ByZone<Zone>,
+        zones: &mut ByZone<Zone>,
+        inputs: &BTreeMap<ZoneId, ZoneTableInputs>,
         waiting: Vec<ProxyId>,
         out: &mut Vec<Action>,
     ) {
@@ -30,20 +36,51 @@
             let requests_per_s = proxy.requests_per_s;
             let Some(loads) = loads.get_mut(&proxy.zone) else { continue };
             let Some(subset) = least_loaded_subset(loads) else { continue };
-            let tables = &zones[&proxy.zone].subsets[subset].tables;
-            // The tables of all classes are assigned at once: a class that kept the table of another subset
-            // would receive no further changes of that table.
-            let lines = tables.iter().map(Table::full_lines).sum();
-            let all_are_empty = tables.iter().all(|table| table.entries.is_empty());
-            let budget = MessageBudget::Full;
-            if all_are_empty || !self.has_capacity(PushPriority::ASSIGNMENT, budget, lines, &[id]) {
-                continue;
+            let zone_inputs = &inputs[&proxy.zone];
+            let Some(zone) = zones.get_mut(&proxy.zone) else { continue };
+            if self.assign_proxy(id, zone, zone_inputs, subset, out) {
+                loads[subset] += requests_per_s;
+            }
+        }
+    }
+
+    /// Assigns a proxy to a subset; returns whether it was assigned. It keeps waiting while all tables of the
+    /// subset are empty, while they exceed the send capacity, or while the limit on messages lets it wait.
+    fn assign_proxy(
+        &mut self,
+        id: ProxyId,
+        zone: &mut Zone,
+        zone_inputs: &ZoneTableInputs,
+        subset: usize,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let tables = &zone.subsets[subset].tables;
+        if tables.iter().all(|table| table.entries.is_empty()) {
+            return false;
+        }
+        let waiting_proxies = zone_inputs.waiting_proxies;
+        let due_at = self.assignment_due_at(&self.proxies[&id], full_lines(tables), waiting_proxies);
+        let budget = self.message_budget(due_at);
+        if self.await_removals(tables) {
+            // One message must do for the tables and the removals.
+            if budget == MessageBudget::Surplus {
+                self.evaluate_by(due_at);
+                return false;
             }
-            loads[subset] += requests_per_s;
-            self.assign_tables(id, tables, out);
-            self.record_messages(lines, &[id]);
-            self.record_assignment(id, subset);
+            self.push_subset(zone, zone_inputs, subset, self.now, out);
+        }
+        // The tables of all classes are assigned at once: a class that kept the table of another subset would
+        // receive no further changes of that table.
+        let tables = &zone.subsets[subset].tables;
+        let lines = full_lines(tables);
+        if !self.has_capacity(PushPriority::ASSIGNMENT, budget, lines, &[id]) {
+            self.evaluate_by(due_at);
+            return false;
         }
+        self.assign_tables(id, tables, out);
+        self.record_messages(lines, &[id]);
+        self.record_assignment(id, subset);
+        true
     }
 
     /// Appends the actions that assign a proxy one table for each group of classes.
--- a/crates/wingfold-director/src/policy/push.rs
+++ b/crates/wingfold-director/src/policy/push.rs
@@ -110,26 +110,41 @@
         // The least recently sent subset comes first, so that none starves where the send capacity is short.
         for subset in subsets_by_last_sent(zones) {
             let Some(zone) = zones.get_mut(&subset.zone) else { continue };
-            for group in 0..self.class_groups.len() {
-                self.push_changes(zone, &inputs[&subset.zone], group, subset.index, out);
-            }
+            self.push_subset(zone, &inputs[&subset.zone], subset.index, NEVER, out);
         }
         self.update_changed_expected_shares(zones, BASE_SUBSET_LOAD_PER_S);
         if !waiting.is_empty() {
-            self.assign_proxies(zones, waiting, out);
+            self.assign_proxies(zones, &inputs, waiting, out);
         }
         let barrier_interval = BARRIER_INTERVAL_RATIO * self.in_flight_limit(PushPriority::DRAIN);
         self.finish_messages(barrier_interval, out);
     }
 
+    /// Sends the changes of all tables of a subset, as far as the send capacity allows. Removals of draining
+    /// hosts are due at `removals_due_at` at the latest.
+    pub(crate) fn push_subset(
+        &mut self,
+        zone: &mut Zone,
+        zone_inputs: &ZoneTableInputs,
+        subset_index: usize,
+        removals_due_at: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        for group in 0..self.class_groups.len() {
+            self.push_changes(zone, zone_inputs, group, subset_index, removals_due_at, out);
+        }
+    }
+
     /// Sends the changes of a subset's table for a group of classes if the most urgent may be sent now, and
-    /// then as many new standby entries as the send capacity allows.
+    /// then as many new standby entries as the send capacity allows. Removals of draining hosts are due at
+    /// `removals_due_at` at the latest.
     fn push_changes(
         &mut self,
         zone: &mut Zone,
         zone_inputs: &ZoneTableInputs,
         group: usize,
         subset_index: usize,
+        removals_due_at: Timestamp,
         out: &mut Vec<Action>,
     ) {
         let conditions = self.push_conditions(zone, zone_inputs, group);
@@ -145,6 +160,7 @@
         let proxies = &zone_inputs.proxies_by_subset[subset_index];
         let missing = table.changes_to(&plan, conditions.with_standby, &levels, WEIGHT_CHANGE_RATIO);
         let drain_due_at = self.drain_due_at(&missing.entries, missing.len());
+        let drain_due_at = drain_due_at.map(|due_at| due_at.min(removals_due_at));
         let pending = PendingPush {
             proxies,
             plan: &plan,
@@ -155,7 +171,7 @@
         };
         let is_empty = pending.is_empty();
         let Some(push) = self.select_push(zone, zone_inputs, &conditions, pending) else {
-            self.evaluate_drain_by(drain_due_at);
+            self.evaluate_by(drain_due_at);
             return;
         };
         if push.replaces_table {
--- a/crates/wingfold-director/src/policy/send_capacity.rs
+++ b/crates/wingfold-director/src/policy/send_capacity.rs
@@ -42,7 +42,7 @@
     /// A host that drains is removed from a table.
     pub(crate) const DRAIN: PushPriority = PushPriority { in_flight_ratio: 0.9, message_ratio: 1.0 };
     /// A proxy gets its first tables.
-    pub(crate) const ASSIGNMENT: PushPriority = PushPriority { in_flight_ratio: 0.8, message_ratio: 0.9 };
+    pub(crate) const ASSIGNMENT: PushPriority = PushPriority { in_flight_ratio: 0.8, message_ratio: 1.0 };
     /// A host that was ejected or has just started loses weight.
     pub(crate) const HEALTH: PushPriority = PushPriority { in_flight_ratio: 0.5, message_ratio: 0.7 };
     /// Any other change of an entry or an admission level.
@@ -95,20 +95,14 @@
     ) -> bool {
         let new_lines = (lines as f64 + self.lines_per_message()) * proxies.len() as f64;
         self.send_queue.queued_lines + new_lines <= self.in_flight_limit(priority)
-            && self.may_get_messages(priority, budget, lines, proxies)
+            && self.may_get_messages(priority, budget, proxies)
     }
 
-    /// Whether the limit on the messages to one proxy admits another message of `lines` lines to each of
-    /// `proxies`. Lines for a proxy that already gets a message in this evaluation are added to that message,
-    /// which the limit always admits.
-    fn may_get_messages(
-        &self,
-        priority: PushPriority,
-        budget: MessageBudget,
-        lines: usize,
-        proxies: &[ProxyId],
-    ) -> bool {
-        let Some(limit) = self.message_limit(lines) else { return true };
+    /// Whether the limit on the messages to one proxy admits another message to each of `proxies`. Lines for
+    /// a proxy that already gets a message in this evaluation are added to that message, which the limit
+    /// always admits.
+    fn may_get_messages(&self, priority: PushPriority, budget: MessageBudget, proxies: &[ProxyId]) -> bool {
+        let Some(limit) = self.message_limit() else { return true };
         proxies.iter().filter(|proxy| !self.pending_messages.contains_key(proxy)).all(|proxy| {
             let send_times = &self.proxies[proxy].send_times;
             limit.admits(self.now, send_times, priority, budget)
--- a/crates/wingfold-director/tests/message_limit.rs
+++ b/crates/wingfold-director/tests/message_limit.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Plans that the stream of `proxy` breaks `after_s` seconds from now, and is opened again.
+    fn plan_break(&mut self, proxy: u32, after_s: f64, reconnected_after_s: f64) {
+        self.plan(after_s, Event::ProxyDisconnected(ProxyId(proxy)));
+        self.plan(after_s + reconnected_after_s, connect(proxy));
+    }
+
     /// Lets planned events happen and timers fire for `secs` seconds.
     fn run_for(&mut self, secs: f64) {
         let end = at_seconds(self.harness.now + secs);
@@ -251,3 +257,25 @@
     fleet.check();
     assert!(fleet.proxies.values().all(|proxy| proxy.longest_removal_s == 0.0), "a drain waits needlessly");
 }
+
+#[test]
+fn a_proxy_that_reconnects_often_delays_no_drain() {
+    // Regression: each assignment took a message of a proxy whose stream broke again and again. Once that
+    // proxy had none left, no proxy of its subset was told that hosts drain.
+    for (breaks, interval_s, reconnected_after_s) in
+        [(5, 0.9, 0.43), (9, 0.72, 0.43), (12, 0.3, 0.02), (30, 1.3, 0.43)]
+    {
+        for mean_push_delay_s in [0.1, 0.25, 0.43] {
+            let mut fleet = LimitedFleet::new(limited_settings(mean_push_delay_s), 150);
+            for number in 0..breaks {
+                fleet.plan_break(0, number as f64 * interval_s, reconnected_after_s);
+            }
+            let first_drain_s = 6.0f64.min(breaks as f64 * interval_s);
+            for number in 0..100 {
+                fleet.plan_replacement(number, first_drain_s + number as f64 * LIST_INTERVAL_S);
+            }
+            fleet.run_for(50.0);
+            fleet.check();
+        }
+    }
+}
