--- a/crates/wingfold-director/tests/message_limit.rs
+++ b/crates/wingfold-director/tests/message_limit.rs
@@ -88,10 +88,16 @@
 
     /// Plans the replacement of host `number`, which starts to drain `after_s` seconds from now.
     fn plan_replacement(&mut self, number: usize, after_s: f64) {
+        self.plan_replacement_as(Readiness::Draining, number, after_s);
+    }
+
+    /// Plans the replacement of host `number`, which the endpoint list shows as `readiness` `after_s` seconds
+    /// from now.
+    fn plan_replacement_as(&mut self, readiness: Readiness, number: usize, after_s: f64) {
         let changes =
             |endpoint| Event::EndpointList { kind: EndpointListKind::Changes, endpoints: vec![endpoint] };
         let zone_name = if number.is_multiple_of(2) { "east" } else { "west" };
-        let drain = endpoint(&format!("h{number}"), zone_name, Readiness::Draining, None);
+        let drain = endpoint(&format!("h{number}"), zone_name, readiness, None);
         self.plan(after_s, changes(drain));
         let listed_after_s = after_s + SUCCESSOR_LISTED_AFTER_S;
         let started_at = Some(self.harness.now + listed_after_s - 0.27);
@@ -158,7 +164,7 @@
                 (proxy.connected_at, proxy.table) = (None, None);
             }
             Event::EndpointList { endpoints, .. } => {
-                let draining = endpoints.iter().filter(|e| e.readiness == Readiness::Draining);
+                let draining = endpoints.iter().filter(|e| e.readiness != Readiness::Ready);
                 self.drains.extend(draining.map(|endpoint| (endpoint.host.clone(), now)));
             }
             _ => {}
@@ -249,6 +255,17 @@
     }
 }
 
+#[test]
+fn hosts_that_are_removed_without_a_drain_leave_within_the_grace() {
+    // Regression: like the test above, where the list shows no host as draining before it removes the host.
+    let mut fleet = LimitedFleet::new(limited_settings(0.25), 150);
+    for number in 0..140 {
+        fleet.plan_replacement_as(Readiness::Removed, number, number as f64 * LIST_INTERVAL_S);
+    }
+    fleet.run_for(40.0);
+    fleet.check();
+}
+
 #[test]
 fn a_drain_after_a_pause_is_sent_at_once() {
     let mut fleet = LimitedFleet::new(limited_settings(0.43), 28);
