End an extract of a capture where the director was restarted

What callers saw: `wingfold capture keep` of a folder with a director's capture before and after a restart made a case that failed at once: "15 calls: failed; call 15: the replay differs from the recording (1 differences)". The folder itself replayed equal.

Cause: an extract is one segment with one checkpoint and takes the next call by its number (edit.rs, extract). Numbers begin at 1 again after a restart, so calls of the second incarnation whose numbers followed on the last of the first were appended to it. The test gave both incarnations about as many calls, so chance decided.

Change: an extract ends at the head of another incarnation, as it ends before a missing call. Related paths: the replayer asks the same question, now with Head::is_same_incarnation; accept, check and the scan of a segment read one segment, which has one head. No decision changes. The program's test now always has more calls after the restart than before it. Recording captures in memory moved to a module that two test files share.

--- a/crates/wingfold-capture/src/edit.rs
+++ b/crates/wingfold-capture/src/edit.rs
@@ -66,7 +66,8 @@
 }
 
 /// Extracts the calls of a span of time into a segment. Returns `None` if no call in the span can be
-/// replayed. The segment ends before the first missing call.
+/// replayed. The segment ends before the first missing call and before a restart of the director, as a segment
+/// has one checkpoint and one sequence of call numbers.
 pub fn extract(
     entries: impl Iterator<Item = Entry>,
     from: Timestamp,
@@ -76,6 +77,9 @@
     let mut assembler: Option<SegmentAssembler> = None;
     let mut next_call = 0;
     for entry in entries {
+        if assembler.is_some() && is_restart(&entry, replayer.head()) {
+            break;
+        }
         if let (Entry::Call(call), Some(director), None) = (&entry, replayer.director(), &assembler) {
             if call.at >= from && call.at <= until {
                 assembler = Some(SegmentAssembler::new(replayer.head(), call.number, call.at, director));
@@ -95,6 +99,11 @@
     Ok(assembler.map(SegmentAssembler::finish))
 }
 
+/// Whether an entry begins the calls of another incarnation than that of the segment with this head.
+fn is_restart(entry: &Entry, head: &Head) -> bool {
+    matches!(entry, Entry::Head(next) if !next.is_same_incarnation(head))
+}
+
 /// Replays a capture and returns it as one segment, with the actions of this build in place of the recorded
 /// ones. This updates a case after an intended change of decisions. Returns `None` if the capture has no
 /// checkpoint.
--- a/crates/wingfold-capture/src/model.rs
+++ b/crates/wingfold-capture/src/model.rs
@@ -33,6 +33,14 @@
     pub notice_wording: NoticeWording,
 }
 
+impl Head {
+    /// Whether both heads are of the same process of the same director, whose calls are numbered in one
+    /// sequence.
+    pub fn is_same_incarnation(&self, other: &Head) -> bool {
+        self.director == other.director && self.incarnation == other.incarnation
+    }
+}
+
 /// The wording of the texts of notices in a capture. A replay must reproduce the wording, as it compares the
 /// texts byte by byte.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/wingfold-capture/src/replay.rs
+++ b/crates/wingfold-capture/src/replay.rs
@@ -128,7 +128,7 @@
         if !self.report.builds.contains(&head.build) {
             self.report.builds.push(head.build.clone());
         }
-        if self.head.incarnation != head.incarnation || self.head.director != head.director {
+        if !self.head.is_same_incarnation(&head) {
             self.director = None;
         }
         self.head = head;
--- a/crates/wingfold-capture/tests/notice_wording.rs
+++ b/crates/wingfold-capture/tests/notice_wording.rs
@@ -1,17 +1,16 @@
 //! Replays compare the texts of notices byte by byte, so they must know the wording of a capture. Captures of
 //! builds up to 0.1.0 contain notices in the original wording, and their heads do not name the wording; new
 //! captures contain notices as the director renders them.
+mod common;
+
+use common::record_incarnation;
 use serde::Serialize;
 use std::path::Path;
 use wingfold_capture::block::{self, Block, BlockKind};
 use wingfold_capture::model::encode_actions;
 use wingfold_capture::replay::{DifferenceKind, ReplayMode, Replayer};
-use wingfold_capture::{
-    edit, entries, reader, Call, DiskOperation, Entry, Head, NoticeWording, RecordedItem, Recorder,
-    RecorderQueue, SegmentLimits, SegmentWriter,
-};
+use wingfold_capture::{edit, entries, reader, Call, Entry, Head, NoticeWording};
 use wingfold_director::interface::*;
-use wingfold_director::Director;
 
 /// The bytes of all captures in `captures/`, which earlier builds recorded.
 fn kept_captures() -> Vec<Vec<u8>> {
@@ -20,86 +19,9 @@
     folders.map(|folder| std::fs::read(folder.join("capture.wfcap")).unwrap()).collect()
 }
 
-/// A queue that writes the items into a segment in memory.
-struct MemoryQueue {
-    writer: SegmentWriter,
-    operations: Vec<DiskOperation>,
-    bytes: Vec<u8>,
-}
-
-impl MemoryQueue {
-    fn new(head: Head) -> MemoryQueue {
-        let writer = SegmentWriter::new(head, SegmentLimits::default(), Vec::new());
-        MemoryQueue { writer, operations: Vec::new(), bytes: Vec::new() }
-    }
-
-    fn collect_bytes(&mut self) {
-        for operation in self.operations.drain(..) {
-            if let DiskOperation::Append(bytes, _) = operation {
-                self.bytes.extend(bytes);
-            }
-        }
-    }
-}
-
-impl RecorderQueue for MemoryQueue {
-    fn has_room(&self, _: usize) -> bool {
-        true
-    }
-
-    fn push(&mut self, item: RecordedItem) -> bool {
-        self.writer.handle(item, &mut self.operations);
-        self.collect_bytes();
-        true
-    }
-
-    fn wants_checkpoint(&self) -> bool {
-        self.writer.wants_checkpoint()
-    }
-
-    fn finish(&mut self) -> std::io::Result<()> {
-        self.writer.finish(&mut self.operations);
-        self.collect_bytes();
-        Ok(())
-    }
-}
-
-fn endpoint(number: u64, readiness: Readiness) -> Endpoint {
-    Endpoint {
-        host: HostId(format!("h{number}").into()),
-        machine_type: "box".into(),
-        zone: ZoneId("east".into()),
-        readiness,
-        weight: 1.0,
-        started_at: None,
-    }
-}
-
 /// A capture of 20 calls that this build records; call 12 is the first with a notice.
 fn record_capture() -> Vec<u8> {
-    let settings = Settings { zones: vec![ZoneId("east".into())], ..Settings::default() };
-    let head = Head { settings: settings.clone(), seed: 3, ..Head::default() };
-    let mut director = Director::new(settings, head.seed);
-    let mut recorder = Recorder::new(MemoryQueue::new(head));
-    for number in 1..=20 {
-        let events = match number {
-            3 => vec![Event::EndpointList {
-                kind: EndpointListKind::Changes,
-                endpoints: (0..4).map(|host| endpoint(host, Readiness::Ready)).collect(),
-            }],
-            12 => vec![Event::EndpointList {
-                kind: EndpointListKind::Changes,
-                endpoints: vec![endpoint(2, Readiness::Draining)],
-            }],
-            _ => vec![Event::TimerFired(0)],
-        };
-        let (now, mut actions) = (Timestamp(number * 250_000), Vec::new());
-        recorder.before_call(now, &director);
-        director.handle(now, &events, &mut actions);
-        recorder.after_call(now, &events, &actions, director.digest());
-    }
-    recorder.queue().finish().unwrap();
-    std::mem::take(&mut recorder.queue().bytes)
+    record_incarnation(Timestamp(0), 20)
 }
 
 fn has_notice(call: &Call) -> bool {
--- a/crates/wingfold/tests/capture.rs
+++ b/crates/wingfold/tests/capture.rs
@@ -121,11 +121,13 @@
     assert_eq!(answer["hosts"][0]["view"]["standing"], "leaving");
 }
 
-/// Kills the director once its capture holds some calls.
+/// Kills the director once its capture holds more calls than that of its predecessor.
 fn serve_until_killed(mut director: Director) {
     let _proxy = director.connect_proxy_with_tables(0, "a");
     let mut collector = director.connect_collector("a");
-    report_failing_host(&director, &mut collector);
+    for _ in 0..3 {
+        report_failing_host(&director, &mut collector);
+    }
     wait_until("the capture holds more than 2000 bytes", || director.metric("capture_bytes_total") > 2000);
     director.send_signal("KILL");
     director.wait_for_exit();
