--- a/crates/wingfold-director/src/policy/message_limit.rs
+++ b/crates/wingfold-director/src/policy/message_limit.rs
@@ -89,7 +89,8 @@
     }
 
     /// When the first removal of a draining host among `changes` must be sent in a message of `lines` lines;
-    /// `None` if there is no such removal, or no limit that a removal would wait for.
+    /// `None` if there is no such removal, or no limit that a removal would wait for. A host of an earlier
+    /// checkpoint, which lacks the time since when it is not ready, is due at once.
     pub(crate) fn drain_due_at(&self, changes: &[EntryChange], lines: usize) -> Option<Timestamp> {
         if self.settings.max_messages_per_proxy == 0 {
             return None;
