Report impossible call numbers in a capture as damage

What callers saw: a forged segment whose checkpoint stands before call 0, or whose call has the last number of all, made `capture check`, `keep` and `accept` panic in a debug build, and count calls wrongly in a release.

Cause: the scan of a segment, the segment writer and the replay subtract or add 1 to numbers that they took from the file unchecked.

One kind of file is now rejected that was read before: none that a director writes.

--- a/crates/wingfold-capture/src/reader.rs
+++ b/crates/wingfold-capture/src/reader.rs
@@ -57,6 +57,11 @@
     postcard::take_from_bytes(contents).map_err(|_| BlockError::Contents)
 }
 
+/// Whether a call can have this number: calls are numbered from 1, and there must be a number after it.
+fn is_call_number(number: u64) -> bool {
+    (1..u64::MAX).contains(&number)
+}
+
 /// An iterator over the entries of a segment; see [`entries`].
 #[derive(Debug)]
 pub struct Entries<'a> {
@@ -92,7 +97,7 @@
     fn next_call(&mut self) -> Option<Entry> {
         let unread = self.calls.get(self.calls_read..).filter(|unread| !unread.is_empty())?;
         match decode_front::<Call>(unread) {
-            Ok((call, rest)) if rest.len() < unread.len() => {
+            Ok((call, rest)) if rest.len() < unread.len() && is_call_number(call.number) => {
                 self.calls_read = self.calls.len() - rest.len();
                 Some(Entry::Call(call))
             }
@@ -129,7 +134,10 @@
         match block.kind {
             BlockKind::Head => Ok(Some(Entry::Head(Box::new(decode_head(&contents)?)))),
             BlockKind::Checkpoint => {
-                let (head, state) = decode_front(&contents)?;
+                let (head, state) = decode_front::<CheckpointHead>(&contents)?;
+                if !is_call_number(head.call) {
+                    return Err(BlockError::Contents);
+                }
                 Ok(Some(Entry::Checkpoint(head, state.to_vec())))
             }
             BlockKind::Calls => {
