Fail a case's condition on a class that the captured settings lack, without a panic

What callers saw: `capture test` panicked on a forged capture whose head names more classes than its settings have, when a `level` condition named a surplus one.

Cause: the position of the name in the head was used as an index into the levels of the director, whose number follows from the settings.

Change: such a class is unknown, as one that the head does not name. Case: conditions of a class that both have are checked as before.

Tests: conditions_on_surplus_classes_fail_as_unknown, failing before ("index out of bounds: the len is 0 but the index is 0").

--- a/crates/wingfold-capture/src/case/condition.rs
+++ b/crates/wingfold-capture/src/case/condition.rs
@@ -261,11 +261,12 @@
     director: &Director,
     head: &Head,
 ) -> Result<(), ConditionFailure> {
-    let Some(index) = head.class_names.iter().position(|known| known == class) else {
-        return Err(ConditionFailure::UnknownClass { class: class.into() });
-    };
+    let unknown_class = || ConditionFailure::UnknownClass { class: class.into() };
+    let index = head.class_names.iter().position(|known| known == class).ok_or_else(unknown_class)?;
     let view = director.zone_views().into_iter().find(|view| view.zone == *zone);
-    let level = view.map_or(1.0, |view| view.admission_levels[index]);
+    // A head may name more classes than the settings of the director have.
+    let level = view.map_or(Some(1.0), |view| view.admission_levels.get(index).copied());
+    let level = level.ok_or_else(unknown_class)?;
     if level < least || level > most {
         let (class, zone) = (class.into(), zone.0.to_string());
         return Err(ConditionFailure::AdmissionLevel { class, level, zone, least, most });
--- a/crates/wingfold-capture/tests/forged.rs
+++ b/crates/wingfold-capture/tests/forged.rs
@@ -2,7 +2,9 @@
 mod common;
 
 use common::record_incarnation;
-use wingfold_capture::block::{self, BlockError, BlockKind};
+use std::time::Duration;
+use wingfold_capture::block::{self, Block, BlockError, BlockKind};
+use wingfold_capture::case::{check, Case, CaseFailure, Condition, ConditionFailure, Expectation};
 use wingfold_capture::model::{encode_actions, CheckpointHead, EncodableCall};
 use wingfold_capture::{edit, entries, reader, Entry, Head};
 use wingfold_director::interface::*;
@@ -35,6 +37,24 @@
         .unwrap()
 }
 
+/// The contents of all blocks of calls of a recorded segment.
+fn recorded_calls(recorded: &[u8]) -> Vec<u8> {
+    let mut calls = Vec::new();
+    let mut offset = 0;
+    while let Ok(block) = Block::at(recorded, offset) {
+        if block.kind == BlockKind::Calls {
+            calls.extend(block.contents().unwrap());
+        }
+        offset = block.end;
+    }
+    calls
+}
+
+/// A case without further conditions than these.
+fn case(expectations: Vec<Expectation>) -> Case {
+    Case { name: "forged".into(), about: String::new(), identical: false, expectations }
+}
+
 /// Calls are numbered from 1, and the number after the last one must exist: others overflowed.
 #[test]
 fn impossible_call_numbers_are_reported_as_damage() {
@@ -55,3 +75,25 @@
         assert_eq!(edit::accept(entries(&forged)).unwrap(), None);
     }
 }
+
+/// A head may name more classes than its settings have: the level of a surplus one was read beyond the end.
+#[test]
+fn conditions_on_surplus_classes_fail_as_unknown() {
+    let recorded = record_incarnation(Timestamp(0), 20);
+    let mut head = reader::head(&recorded).unwrap();
+    head.class_names = (0..=head.settings.classes.len()).map(|class| format!("class-{class}")).collect();
+    let class = head.class_names.last().unwrap().clone();
+    let condition = Condition::AdmissionLevel { class: class.clone(), zone: None, least: 0.0, most: 1.0 };
+    let expectation = Expectation { condition, after: Duration::ZERO, until: Duration::from_secs(9) };
+    let forged = segment(&[
+        (BlockKind::Head, head_contents(&head)),
+        (BlockKind::Checkpoint, checkpoint_contents(&recorded, 1)),
+        (BlockKind::Calls, recorded_calls(&recorded)),
+    ]);
+    let failures = check(&case(vec![expectation]), entries(&forged)).failures;
+    let unknown = |failure: &CaseFailure| {
+        matches!(failure, CaseFailure::Condition { failure: ConditionFailure::UnknownClass { class: unknown }, .. }
+            if *unknown == class)
+    };
+    assert!(failures.len() == 1 && unknown(&failures[0]), "{failures:?}");
+}
