Check a call earlier than a case's first as at the case's start

What callers saw: `capture test` panicked in a debug build on a forged capture whose clock goes back, and compared such a call with the end of time in a release.

Cause: the time since the first call was subtracted unchecked.

Change: it is zero for such a call.

Tests: calls_before_the_first_call_of_a_case_are_checked_as_at_its_start, failing before ("attempt to subtract with overflow").

Result: tests of the capture crate: all passed.

--- a/crates/wingfold-capture/src/case.rs
+++ b/crates/wingfold-capture/src/case.rs
@@ -135,7 +135,7 @@
         };
         let first_call_at = *first_call_at.get_or_insert(at);
         let Some(director) = replayer.director() else { continue };
-        let after = Duration::from_micros(at.0 - first_call_at.0);
+        let after = Duration::from_micros(at.0.saturating_sub(first_call_at.0));
         open.retain_mut(|expectation| {
             let result = expectation.check(after, director, replayer.head());
             failures.extend(result.as_ref().err().cloned());
--- a/crates/wingfold-capture/tests/forged.rs
+++ b/crates/wingfold-capture/tests/forged.rs
@@ -97,3 +97,18 @@
     };
     assert!(failures.len() == 1 && unknown(&failures[0]), "{failures:?}");
 }
+
+/// The clock of a forged capture may go back: the time since the first call was computed below zero.
+#[test]
+fn calls_before_the_first_call_of_a_case_are_checked_as_at_its_start() {
+    let recorded = record_incarnation(Timestamp(0), 3);
+    let head = reader::head(&recorded).unwrap();
+    let calls = [call_contents(1, Timestamp(2_000_000)), call_contents(2, Timestamp(1_000_000))].concat();
+    let forged = segment(&[
+        (BlockKind::Head, head_contents(&head)),
+        (BlockKind::Checkpoint, checkpoint_contents(&recorded, 1)),
+        (BlockKind::Calls, calls),
+    ]);
+    let result = check(&case(Vec::new()), entries(&forged));
+    assert_eq!((result.calls, result.failures), (2, Vec::new()));
+}
