End an accepted capture at a restart too, and let the program's test count the calls

Cause: accept had the fault of extract where the first calls after a restart are missing and the first recorded one follows by number on the last before it. The program's test had more calls after the restart by its waiting alone, and where the appended calls happened to replay equal it could not fail.

Change: accept ends at the head of another incarnation, as extract does. extract leaves missing calls to the segment writer, which ends the segment there already, and keeps no number of its own. The program's test waits until the second incarnation has more calls than the first, and counts the calls of the kept case.

--- a/crates/wingfold-capture/src/case/condition.rs
+++ b/crates/wingfold-capture/src/case/condition.rs
@@ -100,7 +100,7 @@
     /// The director does not know the zone of the condition, or has no zones.
     #[error("the director has no zone that matches the expectation")]
     UnknownZone,
-    /// The head of the capture has no class of this name.
+    /// The head or the settings of the capture have no class of this name.
     #[error("the capture has no class `{class}`")]
     UnknownClass {
         /// The class.
--- a/crates/wingfold-capture/src/edit.rs
+++ b/crates/wingfold-capture/src/edit.rs
@@ -35,7 +35,8 @@
         assembler
     }
 
-    /// Adds the next call to the segment.
+    /// Adds the next call to the segment. A call after missing ones ends the segment, and neither it nor any
+    /// later call is added.
     pub fn add_call(&mut self, call: &Call) {
         let Call { number, at, events, actions, digest } = call;
         let encodable = EncodableCall { number: *number, at: *at, events, actions, digest: *digest };
@@ -75,7 +76,6 @@
 ) -> Result<Option<Vec<u8>>, ReplayError> {
     let mut replayer = Replayer::new(ReplayMode::Strict).between(from, until);
     let mut assembler: Option<SegmentAssembler> = None;
-    let mut next_call = 0;
     for entry in entries {
         if assembler.is_some() && is_restart(&entry, replayer.head()) {
             break;
@@ -83,14 +83,10 @@
         if let (Entry::Call(call), Some(director), None) = (&entry, replayer.director(), &assembler) {
             if call.at >= from && call.at <= until {
                 assembler = Some(SegmentAssembler::new(replayer.head(), call.number, call.at, director));
-                next_call = call.number;
             }
         }
         if let (Some((call, _)), Some(assembler)) = (replayer.feed(entry)?, &mut assembler) {
-            if call.number == next_call {
-                assembler.add_call(&call);
-                next_call += 1;
-            }
+            assembler.add_call(&call);
         }
         if replayer.is_done() {
             break;
@@ -106,11 +102,14 @@
 
 /// Replays a capture and returns it as one segment, with the actions of this build in place of the recorded
 /// ones. This updates a case after an intended change of decisions. Returns `None` if the capture has no
-/// checkpoint.
+/// checkpoint. The segment ends where one of [`extract`] ends.
 pub fn accept(entries: impl Iterator<Item = Entry>) -> Result<Option<Vec<u8>>, ReplayError> {
     let mut replayer = Replayer::new(ReplayMode::Compare);
     let mut assembler: Option<SegmentAssembler> = None;
     for entry in entries {
+        if assembler.is_some() && is_restart(&entry, replayer.head()) {
+            break;
+        }
         let checkpoint = match &entry {
             Entry::Checkpoint(head, _) => Some((head.call, head.at)),
             _ => None,
--- a/crates/wingfold-capture/tests/common/mod.rs
+++ b/crates/wingfold-capture/tests/common/mod.rs
@@ -60,6 +60,9 @@
     }
 }
 
+/// The time from one recorded call to the next.
+pub const CALL_INTERVAL: Micros = Micros(250_000);
+
 /// The events of a call: call 3 adds hosts, call 12 drains one, which the director notes, and the other calls
 /// only fire a timer.
 fn events(call: u64) -> Vec<Event> {
@@ -71,15 +74,14 @@
     }
 }
 
-/// A segment of an incarnation of a director that starts at this time, with the calls from 1 to `calls`, a
-/// quarter of a second apart.
+/// A segment of an incarnation of a director that starts at this time, with the calls from 1 to `calls`.
 pub fn record_incarnation(incarnation: Timestamp, calls: u64) -> Vec<u8> {
     let settings = Settings { zones: vec![ZoneId("east".into())], ..Settings::default() };
     let head = Head { settings: settings.clone(), seed: 3, incarnation, ..Head::default() };
     let mut director = Director::new(settings, head.seed);
     let mut recorder = Recorder::new(MemoryQueue::new(head));
     for call in 1..=calls {
-        let now = incarnation + Micros(call * 250_000);
+        let now = incarnation + Micros(call * CALL_INTERVAL.0);
         let (events, mut actions) = (events(call), Vec::new());
         recorder.before_call(now, &director);
         director.handle(now, &events, &mut actions);
--- a/crates/wingfold/tests/capture.rs
+++ b/crates/wingfold/tests/capture.rs
@@ -54,15 +54,16 @@
     let first = start(&setup, &directory, &local_settings);
     let drain_call = serve_a_reload_and_a_drain(first, &discovery);
     let first_report = assert_complete_and_equal(&capture);
-    assert!(first_report["calls"].as_u64().unwrap() >= drain_call, "{first_report}");
+    let first_calls = first_report["calls"].as_u64().unwrap();
+    assert!(first_calls >= drain_call, "{first_report}");
     assert_ejection_is_explained(&capture);
 
     let second = start(&setup, &directory, &local_settings);
-    serve_until_killed(second);
-    let second_report = assert_killed_and_equal(&capture);
-    assert!(second_report["calls"].as_u64() > first_report["calls"].as_u64(), "{second_report}");
+    serve_until_killed(second, &capture, first_calls);
+    let both_reports = assert_killed_and_equal(&capture);
+    assert!(both_reports["calls"].as_u64().unwrap() > 2 * first_calls, "{both_reports}");
 
-    assert_can_be_kept_as_a_case(&capture, &directory.join("cases"));
+    assert_can_be_kept_as_a_case(&capture, &directory.join("cases"), first_calls);
     std::fs::remove_dir_all(directory).unwrap();
 }
 
@@ -121,14 +122,24 @@
     assert_eq!(answer["hosts"][0]["view"]["standing"], "leaving");
 }
 
-/// Kills the director once its capture holds more calls than that of its predecessor.
-fn serve_until_killed(mut director: Director) {
+/// The number of the last call in the newest segment of a capture.
+fn last_captured_call(capture: &str) -> u64 {
+    let shown = run_wingfold(&["capture", "show", capture, "--json"]);
+    let newest = output_text(&shown).lines().last().map(str::to_string).unwrap();
+    let segment: Value = serde_json::from_str(&newest).unwrap();
+    segment["last_call"].as_u64().unwrap()
+}
+
+/// Kills the director once its capture holds more calls than that of its predecessor, so that numbers of its
+/// calls follow on those of its predecessor.
+fn serve_until_killed(mut director: Director, capture: &str, predecessor_calls: u64) {
     let _proxy = director.connect_proxy_with_tables(0, "a");
     let mut collector = director.connect_collector("a");
-    for _ in 0..3 {
-        report_failing_host(&director, &mut collector);
-    }
+    report_failing_host(&director, &mut collector);
     wait_until("the capture holds more than 2000 bytes", || director.metric("capture_bytes_total") > 2000);
+    wait_until("the capture holds more calls than the predecessor's", || {
+        last_captured_call(capture) > predecessor_calls
+    });
     director.send_signal("KILL");
     director.wait_for_exit();
 }
@@ -145,8 +156,9 @@
     assert_replays_equal(capture)
 }
 
-/// Checks that a capture can be kept as a case, and that the case passes before and after `capture accept`.
-fn assert_can_be_kept_as_a_case(capture: &str, cases: &Path) {
+/// Checks that a capture can be kept as a case with the calls before the restart, and that the case passes
+/// before and after `capture accept`.
+fn assert_can_be_kept_as_a_case(capture: &str, cases: &Path, calls: u64) {
     let cases = cases.display().to_string();
     let keep = ["capture", "keep", capture, "--name", "ejection", "--into", &cases];
     let kept = run_wingfold(&keep);
@@ -154,6 +166,8 @@
     assert_eq!(run_wingfold(&keep).status.code(), Some(2), "an existing case must not be overwritten");
     let tested = run_wingfold(&["capture", "test", &cases]);
     assert_eq!(tested.status.code(), Some(0), "{}", output_text(&tested));
+    let counted = format!("ejection: {calls} calls");
+    assert!(output_text(&tested).contains(&counted), "{counted}: {}", output_text(&tested));
     let accepted = run_wingfold(&["capture", "accept", &format!("{cases}/ejection")]);
     assert_eq!(accepted.status.code(), Some(0), "{}", output_text(&accepted));
     assert_eq!(run_wingfold(&["capture", "test", &cases]).status.code(), Some(0));
