Apply a complete list of the old discovery as one, so that hosts missing from it are removed

Cause: the response to a call abandoned at a reload was delivered as changes even if it was the complete list, so a host that it no longer names stayed until the new address answered. What discovery has written counts as notified, omissions included.

Change: EndpointListResponse::kind says how a response is applied, for abandoned calls too. Checks of version and emptiness as before.

Test: host_missing_from_the_list_of_the_old_discovery_is_removed_after_a_move failed on (the host was there after 60 s, the new address being silent) and passes now.

--- a/crates/wingfold-node/src/discovery.rs
+++ b/crates/wingfold-node/src/discovery.rs
@@ -345,7 +345,7 @@
             "endpoint list received on an abandoned call"
         );
         self.metrics.list_late_total.increment();
-        self.inbox.send(InboundEvent::EndpointList { kind: EndpointListKind::Changes, list: response });
+        self.inbox.send(InboundEvent::EndpointList { kind: response.kind(), list: response });
     }
 
     /// Delivers the result of a call for the changes after version `after`, or for the complete list if
@@ -426,8 +426,7 @@
             entries = response.endpoints.len(),
             "endpoint list received"
         );
-        let kind = if response.complete { EndpointListKind::Complete } else { EndpointListKind::Changes };
-        self.inbox.send(InboundEvent::EndpointList { kind, list: response });
+        self.inbox.send(InboundEvent::EndpointList { kind: response.kind(), list: response });
     }
 }
 
--- a/crates/wingfold-node/src/list.rs
+++ b/crates/wingfold-node/src/list.rs
@@ -10,7 +10,7 @@
 use serde_json::value::RawValue;
 use std::fmt;
 use std::sync::Arc;
-use wingfold_director::interface::{Endpoint, HostId, Readiness, Timestamp, ZoneId};
+use wingfold_director::interface::{Endpoint, EndpointListKind, HostId, Readiness, Timestamp, ZoneId};
 
 /// One response of discovery: the complete list, or the entries that changed.
 #[derive(Clone, Debug, Deserialize)]
@@ -134,6 +134,15 @@
 }
 
 impl EndpointListResponse {
+    /// How the entries change the list held: a host that a complete list does not name has been removed.
+    pub fn kind(&self) -> EndpointListKind {
+        if self.complete {
+            EndpointListKind::Complete
+        } else {
+            EndpointListKind::Changes
+        }
+    }
+
     /// Reads the body of a response entry by entry, so that an unreadable entry does not hide draining
     /// endpoints in the other entries.
     pub fn read(body: &[u8]) -> Result<EndpointListResponse, serde_json::Error> {
--- a/crates/wingfold/tests/slow_discovery.rs
+++ b/crates/wingfold/tests/slow_discovery.rs
@@ -159,6 +159,23 @@
     deployment.wait_until_drained();
 }
 
+#[test]
+fn host_missing_from_the_list_of_the_old_discovery_is_removed_after_a_move() {
+    // Guards against a host that has gone and stays in the tables until the new discovery responds, although
+    // the complete list of the old one had begun to arrive without it.
+    let mut deployment = start("pushed");
+    let mut request = next_request(&deployment.discovery, LIST);
+    let response = response(6, true, &deployment.hosts[1..]);
+    let (first, rest) = response.split_at(response.len() / 2);
+    request.write(first);
+    request.wait_until_read();
+    let silent = ScriptedServer::start(deployment.ip);
+    deployment.move_discovery_to(&silent);
+    let _unanswered = next_request(&silent, LIST);
+    request.write(rest);
+    deployment.wait_until_drained();
+}
+
 #[test]
 fn complete_list_in_pieces_is_applied_after_a_move() {
     // Guards against a director that never learns the list of the discovery it has moved to.
