--- a/crates/wingfold-node/src/discovery.rs
+++ b/crates/wingfold-node/src/discovery.rs
@@ -7,17 +7,17 @@
 
 mod call;
 mod deadline;
+mod delivery;
 mod late;
 mod validation;
 
 use self::call::{wait_for_outcome, Call, CallOutcome, CallRequest, CallResult, EndpointListError};
 use self::deadline::{CallTimeLimits, OverdueReason};
+use self::delivery::{Delivery, ListDelivery};
 use self::late::{LateCall, LateCallKind, LateCalls, LateResponse};
-use self::validation::CachedListState;
 use crate::config::{Bounds, Config};
 use crate::http::HttpClient;
 use crate::inbox::{InboundEvent, InboundSender};
-use crate::list::{EndpointEntry, EndpointListResponse};
 use crate::metrics::Metrics;
 use crate::reload;
 use std::net::SocketAddr;
@@ -26,7 +26,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::task::yield_now;
-use wingfold_director::interface::{EndpointListKind, Event};
+use wingfold_director::interface::Event;
 
 /// A command of the decision module to the client of discovery.
 #[derive(Debug)]
@@ -42,18 +42,7 @@
 /// the next call.
 const EARLY_RESPONSE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Outcome of the delivery of a call's result.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Delivery {
-    /// The call failed, or its response was rejected.
-    Failed,
-    /// A valid response without changes.
-    Unchanged,
-    /// A valid response with changes.
-    Changed,
-}
-
-/// The client of discovery, with the calls under way and the version of the cached list.
+/// The client of discovery, with the calls under way.
 pub struct DiscoveryClient {
     config: watch::Receiver<Arc<Config>>,
     address: SocketAddr,
@@ -63,7 +52,7 @@
     http: HttpClient,
     inbox: InboundSender,
     metrics: Arc<Metrics>,
-    cached: CachedListState,
+    delivery: ListDelivery,
     /// The call of the watch that is under way.
     watch_call: Option<Call>,
     /// The call for the complete list that is under way beside the watch.
@@ -87,7 +76,7 @@
             address: first.discovery,
             changes_are_pushed: !first.settings.endpoint_list_on_request,
             http: http_client(&first.bounds),
-            cached: CachedListState::new(first.cached_list.as_ref()),
+            delivery: ListDelivery::new(first.cached_list.as_ref(), inbox.clone(), metrics.clone()),
             bounds: first.bounds.clone(),
             inbox,
             metrics,
@@ -135,7 +124,7 @@
         self.resumed_watch = false;
         tracing::info!(from = %self.address, to = %address, "discovery address changed");
         self.address = address;
-        self.cached.version = None;
+        self.delivery.forget_version();
         self.http = http_client(&self.bounds);
         self.metrics.list_moves_total.increment();
         self.inbox.send(InboundEvent::Required(Event::DiscoveryMoved));
@@ -189,7 +178,7 @@
 
     /// Starts a call of the watch after a pause. Discovery responds on a change, or when `wait` is over.
     fn start_watch_call(&self, pause: Duration, wait: Duration) -> Call {
-        self.start_call(CallRequest { pause, after: self.cached.version_to_watch(), wait })
+        self.start_call(CallRequest { pause, after: self.delivery.version_to_watch(), wait })
     }
 
     fn start_call(&self, request: CallRequest) -> Call {
@@ -223,62 +212,59 @@
     fn keep_overdue(&mut self, call: Option<Call>, kind: LateCallKind, reason: OverdueReason) {
         let Some(call) = call else { return };
         self.report_failure(&reason.into());
-        self.late.push(LateCall { call, kind, cached_version: self.cached.version });
+        self.late.push(LateCall { call, kind, cached_version: self.delivery.cached_version() });
     }
 
     /// Handles the end of a call of the watch; after a success, starts the next call of the watch.
     fn handle_watch_result(&mut self, result: CallResult) {
         let Some(call) = self.watch_call.take() else { return };
         let deliver_unchanged = std::mem::take(&mut self.deliver_unchanged);
-        let delivery = self.deliver(result, call.after, deliver_unchanged);
-        if delivery == Delivery::Failed {
-            return;
-        }
+        let delivery = match self.delivery.deliver(result, call.after, deliver_unchanged) {
+            Ok(delivery) => delivery,
+            Err(error) => return self.report_failure(&error),
+        };
         let needs_pause = delivery == Delivery::Unchanged && call.was_answered_early();
         let pause = if needs_pause { EARLY_RESPONSE_PAUSE } else { Duration::ZERO };
         self.watch_call = Some(self.start_watch_call(pause, self.bounds.watch_wait));
-        // This response includes all changes that the responses to abandoned calls could still bring.
+        // This response includes all changes that the responses to late calls could still bring.
         self.late.clear();
     }
 
     /// Handles the end of a call for the complete list.
     fn handle_fetch_result(&mut self, result: CallResult) {
         self.fetch_call = None;
-        if self.deliver(result, None, true) != Delivery::Failed {
-            self.late.clear();
+        match self.delivery.deliver(result, None, true) {
+            Ok(_) => self.late.clear(),
+            Err(error) => self.report_failure(&error),
         }
     }
 
     /// Handles the end of a late call.
     async fn handle_late_response(&mut self, LateResponse { result, late }: LateResponse) {
         match late.kind {
-            LateCallKind::Abandoned => self.deliver_abandoned(result, late.cached_version),
+            LateCallKind::Abandoned => self.delivery.deliver_abandoned(result, late.cached_version),
             LateCallKind::OverdueFetch => {
                 self.deliver_overdue(result, &late.call);
             }
             LateCallKind::OverdueWatch => {
-                if self.deliver_overdue(result, &late.call) != Delivery::Failed {
+                if self.deliver_overdue(result, &late.call) {
                     self.resume_watch().await;
                 }
             }
         }
     }
 
-    /// Delivers the response to an overdue call, as if it had arrived in time. A failure is not reported: the
-    /// decision module was told of one when the call was overdue.
-    fn deliver_overdue(&mut self, result: CallResult, call: &Call) -> Delivery {
-        match result.and_then(|response| self.accept(response, call.after)) {
-            Ok(response) => {
-                tracing::info!(took = ?call.sent_at().elapsed(), "overdue discovery call answered");
-                self.metrics.list_late_total.increment();
-                self.late.drop_before(call);
-                self.deliver_accepted(response, true)
-            }
-            Err(error) => {
-                tracing::info!(%error, "overdue discovery call failed");
-                Delivery::Failed
-            }
+    /// Delivers the response to an overdue call, as if it had arrived in time, and returns whether it was
+    /// accepted. A failure is not reported: the decision module was told of one when the call was overdue.
+    fn deliver_overdue(&mut self, result: CallResult, call: &Call) -> bool {
+        if let Err(error) = self.delivery.deliver(result, call.after, true) {
+            tracing::info!(%error, "overdue discovery call failed");
+            return false;
         }
+        tracing::info!(took = ?call.sent_at().elapsed(), "overdue discovery call answered");
+        self.metrics.list_late_total.increment();
+        self.late.drop_before(call);
+        true
     }
 
     /// Continues the watch after the response to an overdue call. The call that repeats it, if it is under
@@ -308,9 +294,9 @@
             result = call.response() => Some(result),
             () = std::future::ready(()) => None,
         };
-        let cached_version = self.cached.version;
+        let cached_version = self.delivery.cached_version();
         match finished {
-            Some(result) => self.deliver_abandoned(result, cached_version),
+            Some(result) => self.delivery.deliver_abandoned(result, cached_version),
             None if call.has_response_begun() => {
                 self.late.push(LateCall { call, kind: LateCallKind::Abandoned, cached_version });
             }
@@ -318,48 +304,6 @@
         }
     }
 
-    /// Delivers the response to an abandoned call. The version of the response is not recorded: the next call
-    /// asks for changes as if this response had not arrived.
-    fn deliver_abandoned(&self, result: CallResult, cached_version: Option<u64>) {
-        let response = match result {
-            Ok(response) => response,
-            Err(error) => {
-                tracing::debug!(%error, "abandoned discovery call failed");
-                return;
-            }
-        };
-        // Known limitation: if the response has an unreadable entry, its version is not compared with the
-        // cached one.
-        if !response.unreadable.is_empty() {
-            self.deliver_draining(response);
-            return;
-        }
-        let is_outdated = cached_version.is_some_and(|cached| response.version < cached);
-        if is_outdated || response.endpoints.is_empty() {
-            return;
-        }
-        tracing::info!(
-            version = response.version,
-            complete = response.complete,
-            entries = response.endpoints.len(),
-            "endpoint list received on an abandoned call"
-        );
-        self.metrics.list_late_total.increment();
-        self.inbox.send(InboundEvent::EndpointList { kind: response.kind(), list: response });
-    }
-
-    /// Delivers the result of a call for the changes after version `after`, or for the complete list if
-    /// `after` is `None`. A response without changes is delivered only with `deliver_unchanged`.
-    fn deliver(&mut self, result: CallResult, after: Option<u64>, deliver_unchanged: bool) -> Delivery {
-        match result.and_then(|response| self.accept(response, after)) {
-            Ok(response) => self.deliver_accepted(response, deliver_unchanged),
-            Err(error) => {
-                self.report_failure(&error);
-                Delivery::Failed
-            }
-        }
-    }
-
     /// Tells the decision module that a call has failed; the module decides when to repeat it.
     fn report_failure(&mut self, error: &EndpointListError) {
         tracing::warn!(%error, "discovery call failed");
@@ -367,67 +311,6 @@
         self.resumed_watch = false;
         self.inbox.send(InboundEvent::Required(Event::EndpointListFailed));
     }
-
-    /// Checks a response against the cached list. A response with unreadable entries is rejected, but its
-    /// draining and removed endpoints are delivered.
-    fn accept(&mut self, response: EndpointListResponse, after: Option<u64>) -> CallResult {
-        self.cached.check(&response, after)?;
-        let Some(first) = response.unreadable.first().cloned() else {
-            self.cached.record_accepted(&response);
-            return Ok(response);
-        };
-        let count = response.unreadable.len();
-        self.metrics.list_entries_invalid_total.add(count as u64);
-        self.deliver_draining(response);
-        Err(EndpointListError::UnreadableEntries { count, first })
-    }
-
-    /// Delivers the endpoints of a rejected response that drain or have been removed: a drain must not wait
-    /// until the unreadable entries are corrected. Later calls ask for the whole response again.
-    fn deliver_draining(&self, mut response: EndpointListResponse) {
-        response.endpoints.retain(EndpointEntry::is_draining_or_removed);
-        if response.endpoints.is_empty() {
-            return;
-        }
-        tracing::info!(
-            version = response.version,
-            entries = response.endpoints.len(),
-            "draining endpoints taken from a rejected endpoint list"
-        );
-        self.inbox.send(InboundEvent::EndpointList { kind: EndpointListKind::Changes, list: response });
-    }
-
-    /// Delivers a response that passed all checks, and records its version. Changes older than the cached
-    /// list are dropped.
-    fn deliver_accepted(&mut self, response: EndpointListResponse, deliver_unchanged: bool) -> Delivery {
-        let cached_version = self.cached.version;
-        // The response to another call was newer, so the cached list holds these changes already.
-        if !response.complete && cached_version.is_some_and(|cached| response.version < cached) {
-            return Delivery::Unchanged;
-        }
-        self.cached.version = Some(response.version);
-        self.metrics.list_version.set(response.version);
-        let has_entries = response.complete || !response.endpoints.is_empty();
-        let is_new_version = cached_version != Some(response.version);
-        if has_entries || deliver_unchanged {
-            self.deliver_list(response);
-        }
-        if has_entries || is_new_version {
-            Delivery::Changed
-        } else {
-            Delivery::Unchanged
-        }
-    }
-
-    fn deliver_list(&self, response: EndpointListResponse) {
-        tracing::info!(
-            version = response.version,
-            complete = response.complete,
-            entries = response.endpoints.len(),
-            "endpoint list received"
-        );
-        self.inbox.send(InboundEvent::EndpointList { kind: response.kind(), list: response });
-    }
 }
 
 /// Creates a client that reuses its connection to discovery for later calls.
--- a/crates/wingfold-node/src/discovery/validation.rs
+++ b/crates/wingfold-node/src/discovery/validation.rs
@@ -42,6 +42,13 @@
         }
     }
 
+    /// Forgets the version and what was seen of it, because discovery has another address.
+    pub fn forget_version(&mut self) {
+        self.version = None;
+        self.needs_complete_list = false;
+        self.older_rejected = 0;
+    }
+
     /// Checks a response to a call for the changes after version `after`, or for the complete list.
     pub fn check(
         &mut self,
--- a/crates/wingfold-node/src/discovery/validation/tests.rs
+++ b/crates/wingfold-node/src/discovery/validation/tests.rs
@@ -65,3 +65,17 @@
     list.record_accepted(&complete(8, &["s-1"]));
     assert_eq!(list.version_to_watch(), Some(7));
 }
+
+#[test]
+fn another_discovery_address_starts_without_the_flags_of_the_old_one() {
+    let mut list = cached(7);
+    list.check(&changes(6, &["s-1"]), Some(7)).unwrap_err();
+    list.check(&complete(6, &["s-1"]), None).unwrap_err();
+    list.forget_version();
+    list.version = Some(9);
+    assert_eq!(list.version_to_watch(), Some(9));
+    for _ in 0..3 {
+        list.check(&complete(8, &["s-1"]), None).unwrap_err();
+    }
+    assert!(list.check(&complete(8, &["s-1"]), None).is_ok());
+}
