Test a discovery whose responses all begin later than silence is allowed at first

Cause: nothing failed when silent calls no longer doubled the time that late calls may stay silent, or when the oldest late call gave way first.

Change: response_that_always_begins_late_is_applied answers each call 12 s after it came, and ends within 60 s.

--- a/crates/wingfold/tests/slow_discovery.rs
+++ b/crates/wingfold/tests/slow_discovery.rs
@@ -22,6 +22,8 @@
 const PIECE_INTERVAL: Duration = Duration::from_millis(250);
 /// The time after which the protocol counts a call's changes as notified, whether they arrived or not.
 const NOTIFIED_AFTER: Duration = Duration::from_secs(6);
+/// Time within which a director hears a discovery whose responses all begin after twice [`NOTIFIED_AFTER`].
+const MAX_HEARD_AFTER: Duration = Duration::from_secs(60);
 
 /// A director that started with a list of version 5, and a proxy whose table holds both of its hosts.
 struct Deployment {
@@ -294,6 +296,29 @@
     next_waiting_watch(&deployment.discovery, 6);
 }
 
+#[test]
+fn response_that_always_begins_late_is_applied() {
+    // Guards against a discovery that takes longer to begin than any call is read on for, and is never heard.
+    let mut deployment = start("pushed");
+    let response = deployment.drain_response(true);
+    let (started, mut unanswered) = (Instant::now(), Vec::new());
+    loop {
+        assert!(started.elapsed() < MAX_HEARD_AFTER, "no response was heard");
+        let next = deployment.discovery.next_request();
+        if next.target != LIST {
+            assert_eq!(next.target, format!("{LIST}?after=6&wait_ms=2000"));
+            break;
+        }
+        unanswered.push(next);
+        for request in &mut unanswered {
+            if request.received_at.elapsed() > NOTIFIED_AFTER * 2 {
+                let _ = request.try_write(&response);
+            }
+        }
+    }
+    deployment.wait_until_drained();
+}
+
 #[test]
 fn slow_response_after_silent_calls_is_applied() {
     // Guards against silent calls that take the place of a call whose response takes long to begin.
