Take a response that stopped for overdue after two of its longest gaps, not always after 1 s

Change: the time without data is twice the longest gap so far, 0.5 s at least and 1 s at most, so that a response that stops by 1.5 s costs the 2 s of before.

--- a/crates/wingfold-node/src/config/bounds.rs
+++ b/crates/wingfold-node/src/config/bounds.rs
@@ -38,7 +38,7 @@
 const MAX_QUEUED_REPORTS: f64 = 1e5;
 /// Largest value of [`Bounds::list_response_time`].
 const MAX_LIST_RESPONSE_TIME: Duration = Duration::from_secs(2);
-/// Largest value of [`Bounds::list_stall_time`].
+/// Largest value of [`Bounds::max_list_stall_time`].
 const MAX_LIST_STALL_TIME: Duration = Duration::from_secs(1);
 /// Value of [`Bounds::max_list_response_time`]: the time after which the protocol counts everything that
 /// discovery has to tell as notified, whether it arrived or not.
@@ -82,9 +82,9 @@
     /// Time for discovery's response, beyond the time that the call itself waits at discovery. A response
     /// that has begun by then and goes on arriving may take longer.
     pub list_response_time: Duration,
-    /// Time without any data after which a response that has begun, and has had `list_response_time`, is
-    /// taken to have stopped.
-    pub list_stall_time: Duration,
+    /// Longest time without any data after which a response that has begun, and has had
+    /// `list_response_time`, is taken to have stopped.
+    pub max_list_stall_time: Duration,
     /// Time for a response that goes on arriving; the call is then repeated although it has not ended.
     pub max_list_response_time: Duration,
     /// Size of one endpoint list: an eighth of the memory.
@@ -158,7 +158,7 @@
             max_queued_reports: queued_reports.clamp(MIN_QUEUED_REPORTS, MAX_QUEUED_REPORTS) as usize,
             watch_wait: max_poll_interval / 2,
             list_response_time,
-            list_stall_time: MAX_LIST_STALL_TIME.min(list_response_time),
+            max_list_stall_time: MAX_LIST_STALL_TIME.min(list_response_time),
             max_list_response_time: MAX_LIST_ARRIVAL_TIME,
             max_list_bytes: limits.eighth_of_memory_bytes(),
             max_hosts: ((limits.memory_mb << 17) / BYTES_PER_HOST).max(MIN_HOSTS),
--- a/crates/wingfold-node/src/discovery/deadline.rs
+++ b/crates/wingfold-node/src/discovery/deadline.rs
@@ -5,6 +5,9 @@
 use crate::http::Received;
 use std::time::{Duration, Instant};
 
+/// Gaps between two arrivals of a response that, in a row, make it count as stopped.
+const STALL_GAPS: u32 = 2;
+
 /// Why a call is overdue. The call itself goes on: its response may still arrive.
 #[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
 pub enum OverdueReason {
@@ -24,8 +27,9 @@
 pub struct CallTimeLimits {
     /// Time for a response to begin, and the least time for it to arrive.
     pub response_time: Duration,
-    /// Time without any data after which a response that has begun counts as stopped.
-    pub stall_time: Duration,
+    /// Longest time without any data after which a response that has begun counts as stopped. Half of it is
+    /// allowed in any case, and more if the response has had longer gaps.
+    pub max_stall_time: Duration,
     /// Time for a response that goes on arriving.
     pub max_response_time: Duration,
 }
@@ -35,7 +39,7 @@
     pub fn new(bounds: &Bounds) -> CallTimeLimits {
         CallTimeLimits {
             response_time: bounds.list_response_time,
-            stall_time: bounds.list_stall_time,
+            max_stall_time: bounds.max_list_stall_time,
             max_response_time: bounds.max_list_response_time,
         }
     }
@@ -60,7 +64,7 @@
         };
         let began_at = received.first_at.min(self.wait_ends_at());
         let least = began_at + self.limits.response_time;
-        let while_arriving = received.last_at + self.limits.stall_time;
+        let while_arriving = self.stalled_at(received);
         let most = began_at + self.limits.max_response_time;
         least.max(while_arriving).min(most)
     }
@@ -71,8 +75,7 @@
             return None;
         }
         let Some(received) = received else { return Some(OverdueReason::NotBegun) };
-        let is_stalled = now >= received.last_at + self.limits.stall_time;
-        Some(if is_stalled {
+        Some(if now >= self.stalled_at(received) {
             OverdueReason::Stalled(received.body_bytes)
         } else {
             OverdueReason::Incomplete(received.body_bytes)
@@ -84,6 +87,12 @@
         received.map_or(self.wait_ends_at(), |received| received.last_at)
     }
 
+    /// When the response counts as stopped if nothing arrives after what has been received.
+    fn stalled_at(&self, received: Received) -> Instant {
+        let most = self.limits.max_stall_time;
+        received.last_at + (received.longest_gap * STALL_GAPS).clamp(most / 2, most)
+    }
+
     /// When discovery is to respond at the latest, whether there are changes or not.
     fn wait_ends_at(&self) -> Instant {
         self.sent_at + self.wait
--- a/crates/wingfold-node/src/http.rs
+++ b/crates/wingfold-node/src/http.rs
@@ -57,6 +57,8 @@
     pub first_at: Instant,
     /// When the head or the latest part of the body arrived.
     pub last_at: Instant,
+    /// Longest time between two arrivals.
+    pub longest_gap: Duration,
     /// Bytes of the body.
     pub body_bytes: usize,
 }
@@ -75,7 +77,13 @@
     fn record(&self, body_bytes: usize) {
         let now = Instant::now();
         let mut progress = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let received = progress.get_or_insert(Received { first_at: now, last_at: now, body_bytes: 0 });
+        let received = progress.get_or_insert(Received {
+            first_at: now,
+            last_at: now,
+            longest_gap: Duration::ZERO,
+            body_bytes: 0,
+        });
+        received.longest_gap = received.longest_gap.max(now - received.last_at);
         received.last_at = now;
         received.body_bytes += body_bytes;
     }
