Test an overdue call that breaks, and one whose discovery moves

Cause: no test forced a reload while an overdue response was arriving, nor an overdue call that ends with an error. Two tests of a move wrote the same lines, and the comment of STALL_GAPS was hard to follow.

No product code differs from but for that comment.

--- a/crates/wingfold-node/src/discovery/deadline.rs
+++ b/crates/wingfold-node/src/discovery/deadline.rs
@@ -5,7 +5,8 @@
 use crate::http::Received;
 use std::time::{Duration, Instant};
 
-/// Gaps between two arrivals of a response that, in a row, make it count as stopped.
+/// How many times the longest gap of a response so far may pass without data before it counts as stopped: its
+/// pieces do not come at equal intervals.
 const STALL_GAPS: u32 = 2;
 
 /// Why a call is overdue. The call itself goes on: its response may still arrive.
--- a/crates/wingfold/tests/slow_discovery.rs
+++ b/crates/wingfold/tests/slow_discovery.rs
@@ -74,6 +74,13 @@
         response(6, is_complete, &entries)
     }
 
+    /// Moves discovery to a server that does not respond to the director's request, and returns the request.
+    fn move_to_silent_discovery(&self) -> PendingRequest {
+        let silent = ScriptedServer::start(self.ip);
+        self.move_discovery_to(&silent);
+        next_request(&silent, LIST)
+    }
+
     /// Reloads a configuration that names this server as discovery.
     fn move_discovery_to(&self, server: &ScriptedServer) {
         let mut config = self.setup.config.clone();
@@ -115,6 +122,14 @@
     next_request(discovery, &waiting_watch(version))
 }
 
+/// Writes the first half of a response, waits until the director has read it, and returns the rest.
+fn write_half<'a>(request: &mut PendingRequest, response: &'a [u8]) -> &'a [u8] {
+    let (first, rest) = response.split_at(response.len() / 2);
+    request.write(first);
+    request.wait_until_read();
+    rest
+}
+
 /// Writes a response in pieces, as long as the director reads it.
 fn write_in_pieces(request: &mut PendingRequest, response: &[u8], interval: Duration) {
     for piece in response.chunks(response.len().div_ceil(PIECES)) {
@@ -162,16 +177,40 @@
     let mut deployment = start("pushed");
     let mut request = next_request(&deployment.discovery, LIST);
     let response = deployment.drain_response(true);
-    let (first, rest) = response.split_at(response.len() / 2);
-    request.write(first);
-    request.wait_until_read();
-    let silent = ScriptedServer::start(deployment.ip);
-    deployment.move_discovery_to(&silent);
-    let _unanswered = next_request(&silent, LIST);
+    let rest = write_half(&mut request, &response);
+    let _silent = deployment.move_to_silent_discovery();
     write_in_pieces(&mut request, rest, PIECE_INTERVAL);
     deployment.wait_until_drained();
 }
 
+#[test]
+fn overdue_response_of_the_old_discovery_is_applied_after_a_move() {
+    // Guards against an overdue call that is dropped at a reload although its response has begun.
+    let mut deployment = start("pushed");
+    let mut request = next_request(&deployment.discovery, LIST);
+    let response = deployment.drain_response(true);
+    let rest = write_half(&mut request, &response);
+    deployment.wait_for_failures(1);
+    let _silent = deployment.move_to_silent_discovery();
+    request.write(rest);
+    deployment.wait_until_drained();
+}
+
+#[test]
+fn overdue_call_that_breaks_is_counted_as_failed_once() {
+    // Guards against a second backoff, and a second repetition, for a call that was reported as overdue.
+    let mut deployment = start("pushed");
+    let request = next_request(&deployment.discovery, LIST);
+    deployment.wait_for_failures(1);
+    request.reset();
+    let failed_late = "overdue discovery call failed";
+    wait_until(failed_late, || deployment.director.log().contains(failed_late));
+    next_request(&deployment.discovery, LIST).write(&deployment.drain_response(true));
+    deployment.wait_until_drained();
+    next_waiting_watch(&deployment.discovery, 6);
+    assert_eq!(deployment.failures(), 1);
+}
+
 #[test]
 fn host_missing_from_the_list_of_the_old_discovery_is_removed_after_a_move() {
     // Guards against a host that has gone and stays in the tables until the new discovery responds, although
@@ -179,12 +218,8 @@
     let mut deployment = start("pushed");
     let mut request = next_request(&deployment.discovery, LIST);
     let response = response(6, true, &deployment.hosts[1..]);
-    let (first, rest) = response.split_at(response.len() / 2);
-    request.write(first);
-    request.wait_until_read();
-    let silent = ScriptedServer::start(deployment.ip);
-    deployment.move_discovery_to(&silent);
-    let _unanswered = next_request(&silent, LIST);
+    let rest = write_half(&mut request, &response);
+    let _silent = deployment.move_to_silent_discovery();
     request.write(rest);
     deployment.wait_until_drained();
 }
@@ -239,8 +274,7 @@
     let mut request = next_request(&deployment.discovery, FIRST_WATCH);
     deployment.wait_for_failures(1);
     let response = deployment.drain_response(false);
-    let (first, rest) = response.split_at(response.len() / 2);
-    request.write(first);
+    let rest = write_half(&mut request, &response);
     write_in_pieces(&mut request, rest, PIECE_INTERVAL);
     deployment.wait_until_drained();
     next_waiting_watch(&deployment.discovery, 6);
@@ -297,8 +331,7 @@
     let interval = NOTIFIED_AFTER.mul_f64(1.3) / PIECES as u32;
     let mut request = next_request(&deployment.discovery, LIST);
     let response = deployment.drain_response(true);
-    let (first, rest) = response.split_at(response.len() / 2);
-    request.write(first);
+    let rest = write_half(&mut request, &response);
     write_in_pieces(&mut request, rest, interval);
     deployment.wait_until_drained();
     assert_eq!(deployment.failures(), 1);
