--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -244,27 +244,36 @@
     Some(finish(&world, &[DRAIN]))
 }
 
-/// Half of the hosts are replaced, one after the other, while one director has all proxies.
+/// Six in ten hosts are replaced within 7 s, while one director has all proxies.
 fn replacement(folder: &str) -> Option<i32> {
-    const PROXIES: usize = 400;
+    const PROXIES: usize = 162;
+    const HOSTS: usize = 103;
+    /// Six in ten.
+    const REPLACED: usize = 61;
+    /// Versions of the list, one every half second.
+    const STEPS: usize = 14;
     let mut setup = central_belt(PROXIES);
     for class in &mut setup.classes {
-        class.per_s *= 0.7;
+        class.per_s *= 0.77;
     }
     setup.lines_per_s = 2400.0;
     setup.pending_max = 4800.0;
-    let list = hosts(&setup, 30, 3);
+    let list = hosts(&setup, HOSTS, 3);
     let world = start(setup, &list, folder, 2.4)?;
-    for (step, host) in list.iter().take(15).enumerate() {
-        world.wait_until(14.0 + 1.5 * step as f64);
+    for step in 0..STEPS {
+        world.wait_until(14.0 + 0.5 * step as f64);
+        if step == 0 {
+            world.lock().logs_messages = true;
+        }
         if !has_trouble() {
             continue;
         }
-        let next = (host.0.replace("s-", "t-"), host.1, HostStatus::Active, unix_ms());
-        world.update_list(|state| {
-            state.set_status(&[host.0.clone()], HostStatus::Leaving);
-            state.set_hosts(&[next]);
-        });
+        let replaced = &list[REPLACED * step / STEPS..REPLACED * (step + 1) / STEPS];
+        let leaving = replaced.iter().map(|host| (host.0.clone(), host.1, HostStatus::Leaving, 0));
+        let started = |id: &String| id.replace("s-", "t-");
+        let next = replaced.iter().map(|host| (started(&host.0), host.1, HostStatus::Active, unix_ms()));
+        let changes: Vec<(String, &str, HostStatus, u64)> = leaving.chain(next).collect();
+        world.update_list(|state| state.set_hosts(&changes));
     }
     world.wait_until(world.now() + 6.0);
     Some(finish(&world, &[DRAIN]))
