Evict connections without a client only when all descriptors are in use

Cause: connections that have named no client were limited to a quarter of all (50 of 200), and the oldest went for each new one.

Change: the limit is gone. A connection without a client is evicted only when the descriptors that connections may have are all in use; nothing needs a reserve, since whoever connects gets a place in any case and identified clients are never evicted.

Tests: `strangers_with_half_a_message_evict_nobody_while_descriptors_are_left` failed before. Tests of admission lose the argument that set the limit; their checks are the same.

Unit tests of the node, bad_clients, streams, race_conditions, process_lifecycle and documentation pass.

--- a/crates/wingfold-node/src/accept/tests.rs
+++ b/crates/wingfold-node/src/accept/tests.rs
@@ -7,12 +7,12 @@
 use std::io::Write;
 use wingfold_test_support as support;
 
-/// Creates an admission with the given limits, and the receiver of its events.
-pub(crate) fn admission(connections: usize, unidentified: usize) -> (Arc<Admission>, InboundReceiver) {
+/// Creates an admission with the given number of connections, and the receiver of its events.
+pub(crate) fn admission(max_connections: usize) -> (Arc<Admission>, InboundReceiver) {
     let nowhere = "127.0.0.1:1".parse().unwrap();
     let text = support::director_config(nowhere, nowhere, json!(null)).to_string();
     let mut config = Config::read(&text, Precedence::File, |_| None).unwrap();
-    (config.bounds.max_connections, config.bounds.max_unidentified) = (connections, unidentified);
+    config.bounds.max_connections = max_connections;
     let metrics = Arc::new(Metrics::default());
     let (inbox, receiver) = inbox::channel(100_000, metrics.clone());
     let router = ops::router(metrics.clone(), None, None);
@@ -29,7 +29,7 @@
 
 #[tokio::test]
 async fn proxy_with_complete_hello_is_not_evicted() {
-    let (admission, mut receiver) = admission(16, 16);
+    let (admission, mut receiver) = admission(16);
     let mut clients = Vec::new();
     for id in 0..8 {
         let (mut client, accepted, address) = connection_pair().await;
@@ -58,7 +58,7 @@
 
 #[tokio::test]
 async fn connection_with_incomplete_hello_is_evicted() {
-    let (admission, _receiver) = admission(16, 16);
+    let (admission, _receiver) = admission(16);
     let (mut client, accepted, address) = connection_pair().await;
     let (slot, unidentified) = admission.admit().unwrap();
     client.write_all(&[0, 0, 0, 60, b'{']).unwrap();
--- a/crates/wingfold-node/src/admission.rs
+++ b/crates/wingfold-node/src/admission.rs
@@ -148,8 +148,7 @@
 
     /// Whether the next connection can be admitted only if another one is evicted.
     pub fn is_full(&self) -> bool {
-        lock(&self.unidentified).len() >= self.bounds.max_unidentified
-            || self.open_connections.load(Ordering::Relaxed) >= self.bounds.max_connections
+        self.open_connections.load(Ordering::Relaxed) >= self.bounds.max_connections
     }
 
     /// Evicts the first unidentified connection by [`EvictionRank`]; returns false if there is none.
--- a/crates/wingfold-node/src/admission/tests.rs
+++ b/crates/wingfold-node/src/admission/tests.rs
@@ -5,7 +5,7 @@
 
 #[test]
 fn eviction_starts_only_when_no_slot_is_free() {
-    let (admission, _receiver) = admission(4, 16);
+    let (admission, _receiver) = admission(4);
     let taken: Vec<_> = (0..4).map(|_| admission.admit().unwrap()).collect();
     assert_eq!(admission.metrics.unidentified_evicted_total.get(), 0);
     let (slot, _unidentified) = admission.admit().unwrap();
@@ -21,7 +21,7 @@
 
 #[test]
 fn identified_clients_are_not_evicted() {
-    let (admission, _receiver) = admission(2, 16);
+    let (admission, _receiver) = admission(2);
     let identified: Vec<ConnectionSlot> = (0..2).map(|_| admission.admit().unwrap().0).collect();
     assert_eq!(admission.admit().unwrap_err(), NoFreeSlot);
     assert_eq!(admission.metrics.connections_open.get(), 2);
@@ -31,7 +31,7 @@
 
 #[test]
 fn connection_ids_rise_in_order_of_admission() {
-    let (admission, _receiver) = admission(9, 9);
+    let (admission, _receiver) = admission(9);
     let numbers: Vec<u64> = (0..5).map(|_| admission.admit().unwrap().1.connection_id()).collect();
     assert!(numbers.is_sorted_by(|a, b| a < b), "{numbers:?}");
 }
--- a/crates/wingfold-node/src/client/tests.rs
+++ b/crates/wingfold-node/src/client/tests.rs
@@ -16,7 +16,7 @@
 
 #[tokio::test]
 async fn client_that_sends_continuously_yields_to_other_tasks() {
-    let (admission, mut receiver) = admission(16, 16);
+    let (admission, mut receiver) = admission(16);
     let (mut client, mut accepted, _) = connection_pair().await;
     let acknowledgement = Client::encode_frame(&json!({"type": "ACK", "id": 3, "seq": 9, "ms": 1.0}));
     let sent = 20 * MESSAGES_BETWEEN_YIELDS;
--- a/crates/wingfold-node/src/config/bounds.rs
+++ b/crates/wingfold-node/src/config/bounds.rs
@@ -18,7 +18,7 @@
 /// File descriptors that are always open: the log, the listener, the socket for datagrams, those of the
 /// runtime, two calls to discovery, and the overdue and abandoned calls that these replace.
 const ALWAYS_OPEN_DESCRIPTORS: usize = 24;
-/// Least number of connections, in all and of unidentified ones.
+/// Least number of connections.
 const MIN_CONNECTIONS: usize = 16;
 /// Longest time between two calls to discovery if the settings give none.
 const DEFAULT_MAX_POLL_INTERVAL: Duration = Duration::from_secs(10);
@@ -50,14 +50,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
     /// Connections at the listener: the limit of descriptors less those for health checks and those that are
-    /// always open.
+    /// always open. Connections whose client is not identified yet have no limit of their own: each sound
+    /// client is one of them until its first message has arrived, and a lower limit would close it for the
+    /// sake of a younger one while descriptors are left.
     pub max_connections: usize,
     /// Proxies and collectors that may be connected at once, by the settings.
     pub max_clients: usize,
-    /// Connections whose client is not identified yet: `max_connections` less `max_clients`, at most a
-    /// quarter of `max_connections`, and at least a few, because each proxy is an unidentified connection
-    /// until its first message is read.
-    pub max_unidentified: usize,
     /// Time from accepting a connection until its first message names its client. The protocol allows a
     /// connection to be closed whose client has not joined within a second.
     pub identification_timeout: Duration,
@@ -143,7 +141,6 @@
         Bounds {
             max_connections: connections,
             max_clients: clients,
-            max_unidentified: connections.saturating_sub(clients).min(connections / 4).max(MIN_CONNECTIONS),
             identification_timeout: IDENTIFICATION_TIMEOUT,
             max_collectors_per_zone: COLLECTORS_PER_ZONE,
             idle_timeout: (duration(settings.report_period) * IDLE_TIMEOUT_PERIODS).max(MIN_IDLE_TIMEOUT),
@@ -177,9 +174,8 @@
             ));
         }
         let remaining_ratio = 1.0 - bytes as f64 / self.memory_bytes.max(1) as f64;
-        let min_connections = self.max_unidentified.min(self.max_connections);
         Ok(Bounds {
-            max_connections: self.max_connections.saturating_sub(descriptors).max(min_connections),
+            max_connections: self.max_connections.saturating_sub(descriptors).max(MIN_CONNECTIONS),
             max_list_bytes: (self.max_list_bytes as f64 * remaining_ratio) as usize,
             ..self.clone()
         })
--- a/crates/wingfold-node/src/startup.rs
+++ b/crates/wingfold-node/src/startup.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::time::Instant;
 use wingfold_director::interface::LoadReportSource;
 use wingfold_settings::local::{LoadReceiverSettings, LocalSettings};
@@ -19,6 +19,8 @@
 const ADDRESS_IN_USE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause between two attempts to bind an address that is in use.
 const ADDRESS_IN_USE_PAUSE: Duration = Duration::from_millis(50);
+/// Connections that may wait to be accepted.
+const ACCEPT_QUEUE_LENGTH: u32 = 1024;
 
 /// Deducts the memory and descriptors of the capture and the metrics from the bounds, because the limits of
 /// the process cover them as well. If the descriptors then no longer suffice for all clients, metrics are
@@ -75,7 +77,7 @@
         metrics: &Arc<Metrics>,
     ) -> Result<Sockets, RunError> {
         let deadline = Instant::now() + ADDRESS_IN_USE_TIMEOUT;
-        let listener = bind_with_retry("listen", config.listen, deadline, TcpListener::bind).await?;
+        let listener = bind_with_retry("listen", config.listen, deadline, bind_listener).await?;
         let collectd = match load_receiver {
             Some(settings) => Some(bind_collectd(settings, deadline).await?),
             None => None,
@@ -88,6 +90,15 @@
     }
 }
 
+/// Binds the listener, with a queue that holds connections in hundreds while they wait to be accepted. The
+/// kernel drops a connection that finds the queue full, and its client tries again only a second later.
+async fn bind_listener(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE_LENGTH)
+}
+
 async fn bind_collectd(
     settings: LoadReceiverSettings,
     deadline: Instant,
--- a/crates/wingfold/tests/bad_clients.rs
+++ b/crates/wingfold/tests/bad_clients.rs
@@ -3,8 +3,8 @@
 
 mod common;
 
-use common::messages::{collector_hello, ping};
-use common::{three_host_deployment, wait_until, Director, Discovery};
+use common::messages::{collector_hello, is_complete, load_report, ping, proxy_hello, usage_report};
+use common::{three_host_deployment, wait_until, Client, Director, Discovery};
 use serde_json::json;
 use std::io::Write;
 use std::thread;
@@ -112,14 +112,40 @@
     assert_eq!(collector.receive().unwrap()["type"], "PONG");
     collector.send_bytes(&padded(&collector_hello("a")));
     let mut proxy = director.connect();
-    proxy.send_bytes(&padded(&common::messages::proxy_hello(1, "a", 5.0)));
-    assert!(common::messages::is_complete(&proxy.receive_update()));
-    proxy.send_bytes(&padded(&common::messages::usage_report(1, "lookup", 9, 0)));
+    proxy.send_bytes(&padded(&proxy_hello(1, "a", 5.0)));
+    assert!(is_complete(&proxy.receive_update()));
+    proxy.send_bytes(&padded(&usage_report(1, "lookup", 9, 0)));
     proxy.send_bytes(&padded(&ping()));
-    collector.send_bytes(&padded(&common::messages::load_report("a", "s-1", 9, 0)));
+    collector.send_bytes(&padded(&load_report("a", "s-1", 9, 0)));
     assert!(proxy.ping() && collector.ping());
     wait_until("both reports are counted", || director.metric("messages_in_total") >= 8);
     for metric in ["messages_bad_total", "messages_invalid_form_total", "messages_invalid_name_total"] {
         assert_eq!(director.metric(metric), 0, "{metric}");
     }
 }
+
+/// Guards against review case 7: strangers with half a message took the places of proxies whose first message
+/// arrives in pieces, although descriptors were left.
+#[test]
+fn strangers_with_half_a_message_evict_nobody_while_descriptors_are_left() {
+    const STRANGERS: usize = 150;
+    let (_discovery, director) = start_small_director();
+    let hello = Client::encode_frame(&proxy_hello(1, "a", 5.0));
+    let (first_piece, second_piece) = hello.split_at(20);
+    let mut silent_proxy = director.connect();
+    let mut proxy = director.connect();
+    proxy.send_bytes(first_piece);
+    let strangers: Vec<Client> = (0..STRANGERS)
+        .map(|_| {
+            let mut stranger = director.connect();
+            stranger.send_bytes(&[0, 0, 0, 64, b'{', b'"']);
+            stranger
+        })
+        .collect();
+    assert!(silent_proxy.ping(), "a client that sent nothing was evicted");
+    proxy.send_bytes(second_piece);
+    assert!(is_complete(&proxy.receive_update()));
+    assert_eq!(director.metric("unidentified_evicted_total"), 0);
+    assert!(director.open_descriptors() < DESCRIPTORS, "{} descriptors", director.open_descriptors());
+    drop(strangers);
+}
