Bound what connections read and answer between two turns of the other tasks

Cause: all tasks share one thread, and a connection read and decoded all that had arrived, up to 1 MiB, before the next task ran; all ready connections did so in one turn, and a change of the list needs several turns.

Change: a connection reads 8 KiB before the other tasks get their turn. Connections that have named no client share a budget for more than their first 8 KiB: 128 KiB of messages, 16 PONGs or 4 HTTP responses a turn, in the order of asking.

`readers_with_a_budget_share_it_however_many_they_are` and two more of turn_budget guard the shares.

--- a/crates/wingfold-node/src/accept.rs
+++ b/crates/wingfold-node/src/accept.rs
@@ -4,6 +4,7 @@
 use crate::admission::{Admission, ConnectionSlot, NoFreeSlot, UnidentifiedSlot};
 use crate::incoming::{CloseReason, MessageReader};
 use crate::message::{CollectorHello, Inbound, InvalidReason, ProxyHello};
+use crate::turn_budget::{SlicedReader, Work};
 use crate::{collector, frame, log, ops, stream};
 use futures_util::SinkExt;
 use std::io::{self, Cursor};
@@ -23,6 +24,13 @@
 
 /// Accepts connections until this task is aborted. Each connection is served by its own task.
 pub async fn serve(listener: TcpListener, admission: Arc<Admission>) {
+    tokio::select! {
+        () = accept_connections(listener, &admission) => {}
+        () = admission.turn_budget.refill() => {}
+    }
+}
+
+async fn accept_connections(listener: TcpListener, admission: &Arc<Admission>) {
     let failure_log = log::RateLimitedLog::default();
     loop {
         // The tasks of the connections accepted last have not run yet, and the first message of a proxy among
@@ -32,7 +40,7 @@
             yield_now().await;
         }
         match listener.accept().await {
-            Ok((connection, address)) => admit(connection, address, &admission),
+            Ok((connection, address)) => admit(connection, address, admission),
             Err(error) if concerns_one_connection(&error) => {
                 tracing::debug!(%error, "connection failed before it was accepted")
             }
@@ -170,6 +178,7 @@
     let deadline = Instant::now() + admission.bounds.identification_timeout;
     connection.set_nodelay(true)?;
     let (read_half, write_half) = connection.into_split();
+    let read_half = SlicedReader::new(read_half, &admission.turn_budget);
     // Bytes that are ready to be read take precedence over an eviction or an expired deadline: a proxy whose
     // first message has arrived completely must be identified, not closed.
     let evicted = async {
@@ -187,7 +196,7 @@
 
 /// Serves HTTP, or reads messages up to the one that names the client.
 async fn read_hello(
-    mut read_half: OwnedReadHalf,
+    mut read_half: SlicedReader<OwnedReadHalf>,
     mut write_half: OwnedWriteHalf,
     unidentified: &UnidentifiedSlot,
     admission: &Arc<Admission>,
@@ -204,12 +213,17 @@
     loop {
         match reader.next().await?? {
             Inbound::Ping => {
+                admission.turn_budget.spend(Work::Pong).await;
                 let mut writer = FramedWrite::new(&mut write_half, frame::codec());
                 writer.send(admission.pong.clone()).await?;
             }
-            Inbound::ProxyHello(hello) => return Ok(Identified::Proxy(hello, Box::new(reader), write_half)),
+            Inbound::ProxyHello(hello) => {
+                reader.leave_turn_budget();
+                return Ok(Identified::Proxy(hello, Box::new(reader), write_half));
+            }
             Inbound::CollectorHello(hello) => {
-                return Ok(Identified::Collector(hello, Box::new(reader), write_half))
+                reader.leave_turn_budget();
+                return Ok(Identified::Collector(hello, Box::new(reader), write_half));
             }
             _ => return Err(CloseReason::InvalidMessage(InvalidReason::Turn)),
         }
@@ -217,7 +231,9 @@
 }
 
 /// Reads the bytes that distinguish frames from HTTP.
-async fn read_first_bytes(read_half: &mut OwnedReadHalf) -> Result<[u8; frame::LENGTH_BYTES], CloseReason> {
+async fn read_first_bytes(
+    read_half: &mut SlicedReader<OwnedReadHalf>,
+) -> Result<[u8; frame::LENGTH_BYTES], CloseReason> {
     let mut first_bytes = [0; frame::LENGTH_BYTES];
     match read_half.read_exact(&mut first_bytes).await {
         Ok(_) => Ok(first_bytes),
--- a/crates/wingfold-node/src/admission.rs
+++ b/crates/wingfold-node/src/admission.rs
@@ -8,6 +8,7 @@
 use crate::metrics::Metrics;
 use crate::outbox::ConnectionSender;
 use crate::reporting::{CollectorActivity, WriteDelays};
+use crate::turn_budget::TurnBudget;
 use axum::Router;
 use bytes::Bytes;
 use std::collections::BTreeMap;
@@ -29,6 +30,8 @@
     pub metrics: Arc<Metrics>,
     /// The encoded answer to a `PING`.
     pub pong: Bytes,
+    /// Bounds the work of unidentified connections between two turns of the other tasks.
+    pub turn_budget: TurnBudget,
     /// Rate limit of log lines about unidentified connections.
     pub unidentified_log: RateLimitedLog,
     /// Records the time from a decision until the last byte of its update is written; `None` unless metrics
@@ -101,6 +104,7 @@
             inbox,
             metrics,
             pong: message::encode(&Outbound::Pong),
+            turn_budget: TurnBudget::new(),
             unidentified_log: RateLimitedLog::default(),
             write_delays,
             collector_activity,
--- a/crates/wingfold-node/src/client/tests.rs
+++ b/crates/wingfold-node/src/client/tests.rs
@@ -7,6 +7,7 @@
 use crate::incoming::MessageReader;
 use crate::message::ProxyHello;
 use crate::stream;
+use crate::turn_budget::SlicedReader;
 use serde_json::json;
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -25,6 +26,8 @@
     let mut first_bytes = [0; LENGTH_BYTES];
     accepted.read_exact(&mut first_bytes).await.unwrap();
     let (read_half, write_half) = accepted.into_split();
+    let mut read_half = SlicedReader::new(read_half, &admission.turn_budget);
+    read_half.leave_budget();
     let bounds = &admission.bounds;
     let reader = MessageReader::new(first_bytes, read_half, bounds.idle_timeout, admission.metrics.clone());
     let hello = ProxyHello { proxy: 3, zone: "a".into(), requests_per_s: 1.0 };
--- a/crates/wingfold-node/src/incoming.rs
+++ b/crates/wingfold-node/src/incoming.rs
@@ -3,6 +3,7 @@
 use crate::frame::{self, FrameDecoder, FrameError};
 use crate::message::{self, DecodeError, Inbound, InvalidReason};
 use crate::metrics::Metrics;
+use crate::turn_budget::SlicedReader;
 use futures_util::StreamExt;
 use std::io::{Cursor, ErrorKind};
 use std::sync::Arc;
@@ -13,7 +14,7 @@
 use tokio_util::codec::FramedRead;
 
 /// The bytes of a connection: first those already read to distinguish frames from HTTP, then the rest.
-type ConnectionBytes = Chain<Cursor<[u8; frame::LENGTH_BYTES]>, OwnedReadHalf>;
+type ConnectionBytes = Chain<Cursor<[u8; frame::LENGTH_BYTES]>, SlicedReader<OwnedReadHalf>>;
 
 /// Why a connection ended.
 #[derive(Debug, thiserror::Error)]
@@ -75,7 +76,7 @@
     /// may pass between two messages.
     pub fn new(
         first_bytes: [u8; frame::LENGTH_BYTES],
-        rest: OwnedReadHalf,
+        rest: SlicedReader<OwnedReadHalf>,
         idle_timeout: Duration,
         metrics: Arc<Metrics>,
     ) -> Self {
@@ -84,6 +85,11 @@
         MessageReader { frames, idle_timeout, metrics }
     }
 
+    /// Stops sharing the turn budget of unidentified connections: the connection has named its client.
+    pub fn leave_turn_budget(&mut self) {
+        self.frames.get_mut().get_mut().1.leave_budget();
+    }
+
     /// Reads the next message; the inner error says why a message is invalid, the outer one why the
     /// connection ended.
     ///
--- a/crates/wingfold-node/src/lib.rs
+++ b/crates/wingfold-node/src/lib.rs
@@ -39,6 +39,7 @@
 mod startup;
 mod stream;
 mod tables;
+mod turn_budget;
 
 pub use config::{Config, Precedence};
 pub use error::{RunError, TaskEnd};
--- a/crates/wingfold-node/src/ops.rs
+++ b/crates/wingfold-node/src/ops.rs
@@ -5,12 +5,14 @@
 use crate::metrics::Metrics;
 use crate::recorder::CaptureDumper;
 use crate::reporting::LastInterval;
+use crate::turn_budget::Work;
 use axum::extract::State;
 use axum::http::{header, HeaderMap, StatusCode};
 use axum::response::IntoResponse;
 use axum::routing::{get, post};
 use axum::Router;
 use hyper::server::conn::http1;
+use hyper::service::{service_fn, Service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use std::sync::Arc;
@@ -81,7 +83,11 @@
 /// Serves one connection whose first bytes begin an HTTP request. The connection keeps its slot among the
 /// unidentified ones, and the caller drops this future at their deadline.
 pub async fn serve(connection: impl AsyncRead + AsyncWrite + Unpin, admission: &Arc<Admission>) {
-    let service = TowerToHyperService::new(admission.router.clone());
+    let router = TowerToHyperService::new(admission.router.clone());
+    let service = service_fn(|request| async {
+        admission.turn_budget.spend(Work::HttpResponse).await;
+        router.call(request).await
+    });
     let mut server = http1::Builder::new();
     server.timer(TokioTimer::new());
     server.header_read_timeout(admission.bounds.identification_timeout);
--- a/crates/wingfold/tests/bad_clients.rs
+++ b/crates/wingfold/tests/bad_clients.rs
@@ -4,10 +4,13 @@
 mod common;
 
 use common::messages::{collector_hello, is_complete, load_report, ping, proxy_hello, usage_report};
-use common::{three_host_deployment, wait_until, Client, Director, Discovery};
+use common::{three_host_deployment, wait_until, Client, Director, Discovery, ProxyTables};
 use serde_json::json;
 use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// Length of the longest message that the protocol allows.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
@@ -16,6 +19,11 @@
 /// The fewest descriptors that a deployment gives a director.
 const DESCRIPTORS: usize = 256;
 
+/// `drain_grace` of the settings: proxies must have stopped sending to a host by then.
+const DRAIN_GRACE: Duration = Duration::from_secs(2);
+/// Longest time for which a stranger stays; the director closes it after a second.
+const MAX_STRANGER_TIME: Duration = Duration::from_secs(3);
+
 /// Starts a director with the least memory and the fewest descriptors.
 fn start_small_director() -> (Discovery, Director) {
     let (discovery, mut setup) = three_host_deployment();
@@ -149,3 +157,53 @@
     assert!(director.open_descriptors() < DESCRIPTORS, "{} descriptors", director.open_descriptors());
     drop(strangers);
 }
+
+/// A stranger that sends `bytes` again and again, dials again once it is closed, and never reads.
+fn keep_busy(director: SocketAddr, bytes: &[u8], is_stopped: &AtomicBool) {
+    while !is_stopped.load(Ordering::Relaxed) {
+        let Some(mut stranger) = Client::connect(director) else { continue };
+        stranger.stream.set_write_timeout(Some(MAX_STRANGER_TIME)).unwrap();
+        let started = Instant::now();
+        while started.elapsed() < MAX_STRANGER_TIME && stranger.stream.write_all(bytes).is_ok() {}
+    }
+}
+
+/// Guards against review case 9: strangers with long messages held the one thread for seconds, and drains came
+/// late.
+#[test]
+fn drains_reach_proxies_within_the_grace_while_strangers_keep_the_director_busy() {
+    const STRANGERS: usize = 40;
+    let nested = format!("{}0{},", "[".repeat(20), "]".repeat(20));
+    let floods = [
+        longest_message("{\"lines\":[", &nested, "0],\"type\":\"CONFIG\"}"),
+        longest_message("{\"x\":[", "[0],", "0],\"type\":\"PING\"}"),
+        Client::encode_frame(&ping()).repeat(4000),
+        b"GET /metrics HTTP/1.1\r\nhost: d\r\n\r\n".repeat(1000),
+    ];
+    let (discovery, setup) = three_host_deployment();
+    let director = setup.start();
+    let mut proxy = director.connect_proxy(0, "a");
+    let mut tables = ProxyTables::default();
+    tables.apply(&proxy.receive_update());
+    for (flood, drained) in floods.iter().zip(["s-1", "s-2", "s-1", "s-2"]) {
+        discovery.set_host_state(drained, "active");
+        while !tables.hosts("lookup").contains(&drained) {
+            tables.apply(&proxy.receive_update());
+        }
+        let is_stopped = AtomicBool::new(false);
+        thread::scope(|scope| {
+            for _ in 0..STRANGERS {
+                scope.spawn(|| keep_busy(director.listen, flood, &is_stopped));
+            }
+            // By now each stranger has sent more than its first slice.
+            thread::sleep(Duration::from_millis(500));
+            let told = Instant::now();
+            discovery.set_host_state(drained, "leaving");
+            while tables.hosts("lookup").contains(&drained) {
+                tables.apply(&proxy.receive_update());
+            }
+            is_stopped.store(true, Ordering::Relaxed);
+            assert!(told.elapsed() < DRAIN_GRACE, "{:?} until the drain was sent", told.elapsed());
+        });
+    }
+}
