Bound the memory and the turn that reading an endpoint list takes

With 32 MB, a response of 2 MB whose entries cannot be read took a director to 115 MB.

Cause: the limit counted bytes on the wire. Each unreadable entry was kept with its text, each chunk with a handle; five calls may hold a list of an eighth of the memory each; heads had 400 KiB for each health check. The whole list was read in one turn of the thread.

Change: 65,536 entries at most, of which only the first unreadable one is described; a turn for the other tasks after 256; one buffer for a body; heads of 16 KiB; a sixteenth of the memory for a list. Names of machine types have the limit of all names, 255 bytes.

Tests: `long_responses_of_discovery_fit_into_the_memory_limit` failed before (115,484 of 32,768 KiB) and passes, as do `list_with_too_many_entries_is_rejected_and_only_one_unreadable_entry_described` and `other_tasks_run_while_a_long_list_is_read`, which are new.

--- a/crates/wingfold-node/src/config/bounds.rs
+++ b/crates/wingfold-node/src/config/bounds.rs
@@ -83,7 +83,8 @@
     pub max_list_stall_time: Duration,
     /// Time for a response that goes on arriving; the call is then repeated although it has not ended.
     pub max_list_response_time: Duration,
-    /// Size of one endpoint list: an eighth of the memory.
+    /// Size of one endpoint list: a sixteenth of the memory, because five calls may hold one at once (the
+    /// watch, a call for the complete list and three late calls).
     pub max_list_bytes: usize,
     /// Hosts whose addresses and statistics are kept: as many as an eighth of the memory holds, and at least
     /// 1,024.
@@ -119,8 +120,8 @@
 }
 
 impl ProcessLimits {
-    fn eighth_of_memory_bytes(&self) -> usize {
-        self.memory_mb.max(MIN_MEMORY_MB) << 17
+    fn sixteenth_of_memory_bytes(&self) -> usize {
+        self.memory_mb.max(MIN_MEMORY_MB) << 16
     }
 }
 
@@ -150,7 +151,7 @@
             list_response_time,
             max_list_stall_time: MAX_LIST_STALL_TIME.min(list_response_time),
             max_list_response_time: MAX_LIST_ARRIVAL_TIME,
-            max_list_bytes: limits.eighth_of_memory_bytes(),
+            max_list_bytes: limits.sixteenth_of_memory_bytes(),
             max_hosts: ((limits.memory_mb << 17) / BYTES_PER_HOST).max(MIN_HOSTS),
             health_check_connect_timeout: transport.connect_timeout.unwrap_or(DEFAULT_CONNECT_TIMEOUT),
             health_check_timeout: tightest_latency_objective(settings).unwrap_or(max_poll_interval),
--- a/crates/wingfold-node/src/discovery/call.rs
+++ b/crates/wingfold-node/src/discovery/call.rs
@@ -222,5 +222,5 @@
     if response.status != StatusCode::OK {
         return Err(EndpointListError::Status(response.status));
     }
-    Ok(EndpointListResponse::read(&response.body)?)
+    Ok(EndpointListResponse::read(&response.body).await?)
 }
--- a/crates/wingfold-node/src/discovery/delivery.rs
+++ b/crates/wingfold-node/src/discovery/delivery.rs
@@ -73,7 +73,7 @@
         };
         // Known limitation: if the response has an unreadable entry, its version is not compared with the
         // cached one.
-        if !response.unreadable.is_empty() {
+        if response.unreadable.count > 0 {
             self.deliver_draining(response);
             return;
         }
@@ -95,11 +95,11 @@
     /// draining and removed endpoints are delivered.
     fn accept(&mut self, response: EndpointListResponse, after: Option<u64>) -> CallResult {
         self.cached.check(&response, after)?;
-        let Some(first) = response.unreadable.first().cloned() else {
+        let Some(first) = response.unreadable.first.clone() else {
             self.cached.record_accepted(&response);
             return Ok(response);
         };
-        let count = response.unreadable.len();
+        let count = response.unreadable.count;
         self.metrics.list_entries_invalid_total.add(count as u64);
         self.deliver_draining(response);
         Err(EndpointListError::UnreadableEntries { count, first })
--- a/crates/wingfold-node/src/discovery/validation/tests.rs
+++ b/crates/wingfold-node/src/discovery/validation/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::list::tests::read_list;
 
 fn complete(version: u64, hosts: &[&str]) -> EndpointListResponse {
     response(version, true, hosts)
@@ -13,7 +14,7 @@
     let entries: Vec<String> = hosts.iter().map(entry).collect();
     let entries = entries.join(",");
     let body = format!(r#"{{"version":{version},"full":{is_complete},"servers":[{entries}]}}"#);
-    EndpointListResponse::read(body.as_bytes()).unwrap()
+    read_list(body.as_bytes()).unwrap()
 }
 
 /// The state after a complete list of this version with one host was cached.
--- a/crates/wingfold-node/src/engine/tests.rs
+++ b/crates/wingfold-node/src/engine/tests.rs
@@ -2,7 +2,8 @@
 
 use super::*;
 use crate::inbox::InboundEvent;
-use crate::{health_check, inbox, list::EndpointListResponse, outbox, Config, Precedence};
+use crate::list::tests::read_list;
+use crate::{health_check, inbox, outbox, Config, Precedence};
 use serde_json::json;
 use wingfold_director::interface::{EndpointListKind, Timestamp, ZoneId};
 use wingfold_test_support as support;
@@ -54,7 +55,7 @@
         let mut servers = vec![entry(second, "active")];
         servers.extend(second.checked_sub(6).map(|old| entry(old, "left")));
         let list = json!({"version": second, "full": false, "servers": servers}).to_string();
-        let list = EndpointListResponse::read(list.as_bytes()).unwrap();
+        let list = read_list(list.as_bytes()).unwrap();
         let list = InboundEvent::EndpointList { kind: EndpointListKind::Changes, list };
         engine.apply_inbound_event(list, &mut events);
         let proxy = ProxyId(second % 8);
--- a/crates/wingfold-node/src/http.rs
+++ b/crates/wingfold-node/src/http.rs
@@ -2,8 +2,9 @@
 //! response body and either a timeout or a record of its progress, because the server may stop responding or
 //! send an oversized body.
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
 use hyper::http::uri::InvalidUri;
 use hyper::{StatusCode, Uri};
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -14,6 +15,9 @@
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
+/// Size of the buffer of a connection, which bounds the head of a response; hyper's own limit is 400 KiB.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
+
 /// Why a request has no usable response. The stage `relay` records these texts, which `/figures` shows.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -23,9 +27,12 @@
     /// The connection could not be opened, or broke before the head of the response.
     #[error("connection failed: {}", root_cause(.0))]
     ConnectionFailed(#[from] hyper_util::client::legacy::Error),
-    /// The body ended early or exceeded the size limit.
+    /// The body ended early.
     #[error("response body cannot be read: {0}")]
-    BodyFailed(Box<dyn Error + Send + Sync>),
+    BodyFailed(#[source] hyper::Error),
+    /// The body exceeded the size limit.
+    #[error("response body cannot be read: length limit exceeded")]
+    BodyTooLong,
     /// The timeout expired.
     #[error("no complete response in time")]
     Timeout,
@@ -107,6 +114,7 @@
         builder.pool_timer(TokioTimer::new());
         builder.pool_idle_timeout(idle_timeout);
         builder.pool_max_idle_per_host(1);
+        builder.http1_max_buf_size(MAX_BUFFER_BYTES);
         HttpClient { client: builder.build(connector), max_body_bytes }
     }
 
@@ -134,12 +142,22 @@
         let response = self.client.get(uri).await?;
         progress.record(0);
         let status = response.status();
-        let body = response.into_body().map_frame(|frame| {
-            progress.record(frame.data_ref().map_or(0, Bytes::len));
-            frame
-        });
-        let body = Limited::new(body, self.max_body_bytes);
-        let body = body.collect().await.map_err(CallError::BodyFailed)?.to_bytes();
+        let body = self.read_body(response.into_body(), progress).await?;
         Ok(HttpResponse { status, body })
     }
+
+    /// Reads a body into one buffer. Its parts are not collected first: a part may be a single byte.
+    async fn read_body(&self, mut body: Incoming, progress: &ResponseProgress) -> Result<Bytes, CallError> {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(CallError::BodyFailed)?;
+            let Some(data) = frame.data_ref() else { continue };
+            progress.record(data.len());
+            if bytes.len() + data.len() > self.max_body_bytes {
+                return Err(CallError::BodyTooLong);
+            }
+            bytes.extend_from_slice(data);
+        }
+        Ok(bytes.freeze())
+    }
 }
--- a/crates/wingfold-node/src/list.rs
+++ b/crates/wingfold-node/src/list.rs
@@ -2,12 +2,12 @@
 //! of fields and states on the wire to the terms of the code.
 
 mod addresses;
+mod reader;
 
 pub use addresses::{EndpointAddresses, HealthCheckTarget};
 
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
-use serde_json::value::RawValue;
 use std::fmt;
 use std::sync::Arc;
 use wingfold_director::interface::{Endpoint, EndpointListKind, HostId, Readiness, Timestamp, ZoneId};
@@ -25,7 +25,23 @@
     pub endpoints: Vec<EndpointEntry>,
     /// The entries that could not be read; only [`read`](Self::read) fills them in.
     #[serde(skip)]
-    pub unreadable: Vec<UnreadableEntry>,
+    pub unreadable: UnreadableEntries,
+}
+
+/// The entries of a response that cannot be read. Only the first one is described.
+#[derive(Clone, Debug, Default)]
+pub struct UnreadableEntries {
+    /// How many they are.
+    pub count: usize,
+    /// The first one.
+    pub first: Option<UnreadableEntry>,
+}
+
+impl UnreadableEntries {
+    fn add(&mut self, describe: impl FnOnce() -> UnreadableEntry) {
+        self.count += 1;
+        self.first.get_or_insert_with(describe);
+    }
 }
 
 /// An entry that cannot be read, and why.
@@ -48,23 +64,6 @@
     }
 }
 
-/// A response whose entries have not been read yet.
-#[derive(Deserialize)]
-struct RawResponse<'a> {
-    version: u64,
-    #[serde(rename = "full")]
-    complete: bool,
-    #[serde(borrow, rename = "servers")]
-    endpoints: Vec<&'a RawValue>,
-}
-
-/// Reads only the host's name from an entry, since the other fields may be unreadable.
-#[derive(Deserialize)]
-struct HostOnly {
-    #[serde(rename = "id", deserialize_with = "read_name")]
-    host: Arc<str>,
-}
-
 /// One endpoint of the list.
 #[derive(Clone, Debug, Deserialize)]
 pub struct EndpointEntry {
@@ -74,7 +73,7 @@
     address: Arc<str>,
     #[serde(deserialize_with = "read_name")]
     zone: Arc<str>,
-    #[serde(rename = "kind", default)]
+    #[serde(rename = "kind", default, deserialize_with = "read_machine_type")]
     machine_type: String,
     state: EndpointState,
     #[serde(default = "default_weight", deserialize_with = "read_weight")]
@@ -113,6 +112,17 @@
     Ok(name)
 }
 
+/// Reads the name of a machine type, which may be empty.
+fn read_machine_type<'de, D: Deserializer<'de>>(deserializer: D) -> Result<String, D::Error> {
+    let name = String::deserialize(deserializer)?;
+    if name.len() > MAX_NAME_BYTES {
+        let length = name.len();
+        let message = format!("kind has {length} bytes, {MAX_NAME_BYTES} at most are expected");
+        return Err(Error::custom(message));
+    }
+    Ok(name)
+}
+
 fn read_number_up_to<'de, D: Deserializer<'de>>(deserializer: D, max: f64) -> Result<f64, D::Error> {
     let number = f64::deserialize(deserializer)?;
     if !(0.0..=max).contains(&number) {
@@ -143,40 +153,12 @@
         }
     }
 
-    /// Reads the body of a response entry by entry, so that an unreadable entry does not hide draining
-    /// endpoints in the other entries.
-    pub fn read(body: &[u8]) -> Result<EndpointListResponse, serde_json::Error> {
-        let response: RawResponse = serde_json::from_slice(body)?;
-        let mut endpoints = Vec::with_capacity(response.endpoints.len());
-        let mut unreadable = Vec::new();
-        for (index, entry) in response.endpoints.into_iter().enumerate() {
-            match serde_json::from_str(entry.get()) {
-                Ok(endpoint) => endpoints.push(endpoint),
-                Err(error) => unreadable.push(UnreadableEntry::new(index, entry, &error)),
-            }
-        }
-        Ok(EndpointListResponse {
-            version: response.version,
-            complete: response.complete,
-            endpoints,
-            unreadable,
-        })
-    }
-
     /// The entries as the types of the decision module.
     pub fn to_endpoints(&self) -> Vec<Endpoint> {
         self.endpoints.iter().map(EndpointEntry::to_endpoint).collect()
     }
 }
 
-impl UnreadableEntry {
-    fn new(index: usize, entry: &RawValue, error: &serde_json::Error) -> UnreadableEntry {
-        let host_only: Result<HostOnly, _> = serde_json::from_str(entry.get());
-        let host = host_only.ok().map(|entry| entry.host.to_string());
-        UnreadableEntry { index, host, reason: error.to_string() }
-    }
-}
-
 impl EndpointEntry {
     /// Whether the endpoint drains or has been removed.
     pub fn is_draining_or_removed(&self) -> bool {
@@ -214,4 +196,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
