Serve connections that wait for the turn budget by age and need

Of many proxies whose first message is long, none would be read in time when all wait their turn, since all are read at the same pace.

Cause: the budget that connections without a client share was given in the order of asking, so that each of n long messages takes n times as long.

--- a/crates/wingfold-node/src/accept.rs
+++ b/crates/wingfold-node/src/accept.rs
@@ -4,7 +4,7 @@
 use crate::admission::{Admission, ConnectionSlot, NoFreeSlot, UnidentifiedSlot};
 use crate::incoming::{CloseReason, MessageReader};
 use crate::message::{CollectorHello, Inbound, InvalidReason, ProxyHello};
-use crate::turn_budget::{SlicedReader, Work};
+use crate::turn_budget::{BudgetAccount, SlicedReader, Work};
 use crate::{collector, frame, log, ops, stream};
 use futures_util::SinkExt;
 use std::io::{self, Cursor};
@@ -178,7 +178,8 @@
     let deadline = Instant::now() + admission.bounds.identification_timeout;
     connection.set_nodelay(true)?;
     let (read_half, write_half) = connection.into_split();
-    let read_half = SlicedReader::new(read_half, &admission.turn_budget);
+    let account = admission.turn_budget.open_account(unidentified.connection_id());
+    let read_half = SlicedReader::new(read_half, account.clone());
     // Bytes that are ready to be read take precedence over an eviction or an expired deadline: a proxy whose
     // first message has arrived completely must be identified, not closed.
     let evicted = async {
@@ -187,7 +188,7 @@
     };
     tokio::select! {
         biased;
-        identified = timeout_at(deadline, read_hello(read_half, write_half, &unidentified, admission)) => {
+        identified = timeout_at(deadline, read_hello(read_half, write_half, account, &unidentified, admission)) => {
             identified.unwrap_or(Err(CloseReason::IdleTimeout))
         }
         () = evicted => Err(CloseReason::ClosedByDirector),
@@ -198,13 +199,14 @@
 async fn read_hello(
     mut read_half: SlicedReader<OwnedReadHalf>,
     mut write_half: OwnedWriteHalf,
+    account: BudgetAccount,
     unidentified: &UnidentifiedSlot,
     admission: &Arc<Admission>,
 ) -> Result<Identified, CloseReason> {
     let first_bytes = read_first_bytes(&mut read_half).await?;
     if frame::is_http(&first_bytes) {
         let request = tokio::io::join(Cursor::new(first_bytes).chain(read_half), write_half);
-        ops::serve(request, admission).await;
+        ops::serve(request, &account, admission).await;
         return Ok(Identified::Http);
     }
     unidentified.mark_as_sending();
@@ -213,7 +215,7 @@
     loop {
         match reader.next().await?? {
             Inbound::Ping => {
-                admission.turn_budget.spend(Work::Pong).await;
+                account.spend(Work::Pong).await;
                 let mut writer = FramedWrite::new(&mut write_half, frame::codec());
                 writer.send(admission.pong.clone()).await?;
             }
--- a/crates/wingfold-node/src/client/tests.rs
+++ b/crates/wingfold-node/src/client/tests.rs
@@ -26,7 +26,7 @@
     let mut first_bytes = [0; LENGTH_BYTES];
     accepted.read_exact(&mut first_bytes).await.unwrap();
     let (read_half, write_half) = accepted.into_split();
-    let mut read_half = SlicedReader::new(read_half, &admission.turn_budget);
+    let mut read_half = SlicedReader::new(read_half, admission.turn_budget.open_account(0));
     read_half.leave_budget();
     let bounds = &admission.bounds;
     let reader = MessageReader::new(first_bytes, read_half, bounds.idle_timeout, admission.metrics.clone());
--- a/crates/wingfold-node/src/frame.rs
+++ b/crates/wingfold-node/src/frame.rs
@@ -6,6 +6,7 @@
 
 use crate::json_scanner::SyntaxError;
 use crate::long_message::LongMessage;
+use crate::turn_budget::BudgetAccount;
 use bytes::{Buf, BytesMut};
 use std::io;
 use tokio_util::codec::{Decoder, LengthDelimitedCodec};
@@ -43,6 +44,10 @@
     codec: LengthDelimitedCodec,
     is_at_header: bool,
     long: Option<LongFrame>,
+    /// Is told where a long message ends, so that the turn budget knows how much work the connection needs.
+    account: Option<BudgetAccount>,
+    /// Bytes of the frames before the one under way, and of that one if it is long.
+    decoded_bytes: u64,
 }
 
 /// A long frame of which some bytes have arrived.
@@ -54,8 +59,8 @@
 
 impl FrameDecoder {
     /// Creates the decoder of one connection.
-    pub fn new() -> Self {
-        FrameDecoder { codec: codec(), is_at_header: true, long: None }
+    pub fn new(account: Option<BudgetAccount>) -> Self {
+        FrameDecoder { codec: codec(), is_at_header: true, long: None, account, decoded_bytes: 0 }
     }
 
     /// Reads the header of the next frame once it has arrived; takes it from the buffer if the frame is long.
@@ -66,13 +71,25 @@
         // The codec returns its own error for a frame that exceeds the limit.
         if length > SMALL_FRAME_BYTES && length <= MAX_FRAME_BYTES {
             buffer.advance(LENGTH_BYTES);
+            self.decoded_bytes += (LENGTH_BYTES + length) as u64;
+            if let Some(account) = &self.account {
+                account.set_message_end(self.decoded_bytes);
+            }
             self.long = Some(LongFrame { missing_bytes: length, message: Box::new(LongMessage::new()) });
         }
     }
 
+    fn read_small_frame(&mut self, buffer: &mut BytesMut) -> Result<Option<BytesMut>, FrameError> {
+        let message = self.codec.decode(buffer)?;
+        if let Some(message) = &message {
+            self.decoded_bytes += (LENGTH_BYTES + message.len()) as u64;
+        }
+        Ok(message)
+    }
+
     /// Reads what has arrived of a frame; returns its message once it is complete.
     fn read_frame(&mut self, buffer: &mut BytesMut) -> Result<Option<BytesMut>, FrameError> {
-        let Some(mut frame) = self.long.take() else { return Ok(self.codec.decode(buffer)?) };
+        let Some(mut frame) = self.long.take() else { return self.read_small_frame(buffer) };
         let arrived = frame.missing_bytes.min(buffer.len());
         frame.message.push(&buffer[..arrived])?;
         buffer.advance(arrived);
--- a/crates/wingfold-node/src/incoming.rs
+++ b/crates/wingfold-node/src/incoming.rs
@@ -80,8 +80,9 @@
         idle_timeout: Duration,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let decoder = FrameDecoder::new(rest.account().cloned());
         let bytes = Cursor::new(first_bytes).chain(rest);
-        let frames = FramedRead::new(bytes, FrameDecoder::new());
+        let frames = FramedRead::new(bytes, decoder);
         MessageReader { frames, idle_timeout, metrics }
     }
 
--- a/crates/wingfold-node/src/ops.rs
+++ b/crates/wingfold-node/src/ops.rs
@@ -5,7 +5,7 @@
 use crate::metrics::Metrics;
 use crate::recorder::CaptureDumper;
 use crate::reporting::LastInterval;
-use crate::turn_budget::Work;
+use crate::turn_budget::{BudgetAccount, Work};
 use axum::extract::State;
 use axum::http::{header, HeaderMap, StatusCode};
 use axum::response::IntoResponse;
@@ -82,10 +82,14 @@
 
 /// Serves one connection whose first bytes begin an HTTP request. The connection keeps its slot among the
 /// unidentified ones, and the caller drops this future at their deadline.
-pub async fn serve(connection: impl AsyncRead + AsyncWrite + Unpin, admission: &Arc<Admission>) {
+pub async fn serve(
+    connection: impl AsyncRead + AsyncWrite + Unpin,
+    account: &BudgetAccount,
+    admission: &Arc<Admission>,
+) {
     let router = TowerToHyperService::new(admission.router.clone());
     let service = service_fn(|request| async {
-        admission.turn_budget.spend(Work::HttpResponse).await;
+        account.spend(Work::HttpResponse).await;
         router.call(request).await
     });
     let mut server = http1::Builder::new();
