Put connections behind the others whose work begins too late for their deadline

Beside 300 strangers that send messages of 1 MiB, one after the other, nine proxies whose first message is as long took 154 dials, and not all joined in 20 s.

Cause: more was asked than could be read in time, and the oldest came first: each was begun just before its deadline and closed in the middle, so that nearly all work was wasted.

Change: a connection for which nothing was done when only 4 ms for each unit of its work are left before its deadline goes behind the others. Short messages, and those that arrive late but are short, stay where they are.

Tests: `connection_whose_work_begins_too_late_comes_after_those_in_time` failed before.

--- a/crates/wingfold-node/src/accept.rs
+++ b/crates/wingfold-node/src/accept.rs
@@ -178,7 +178,7 @@
     let deadline = Instant::now() + admission.bounds.identification_timeout;
     connection.set_nodelay(true)?;
     let (read_half, write_half) = connection.into_split();
-    let account = admission.turn_budget.open_account(unidentified.connection_id());
+    let account = admission.turn_budget.open_account(deadline);
     let read_half = SlicedReader::new(read_half, account.clone());
     // Bytes that are ready to be read take precedence over an eviction or an expired deadline: a proxy whose
     // first message has arrived completely must be identified, not closed.
--- a/crates/wingfold-node/src/turn_budget.rs
+++ b/crates/wingfold-node/src/turn_budget.rs
@@ -5,17 +5,19 @@
 //! [`SLICE_BYTES`] before the other tasks get their turn, and all connections that have not named a client
 //! share a [`TurnBudget`] for everything beyond their first slice. They are served by age, each as if it had
 //! been accepted [`DELAY_PER_UNIT`] later for each unit of work that it needs. So whoever needs little passes
-//! those that need much, whoever needs much is passed by younger connections for a bounded time only, and of
-//! more long messages than the director can read in time, the oldest are read whole.
+//! those that need much, and whoever needs much is passed by younger connections for a bounded time only. A
+//! connection goes behind the others if nothing was done for it until its deadline is too close: the work would
+//! be wasted. So of more long messages than the director can read in time, as many as possible are read whole.
 
 mod sliced_reader;
 
 pub use sliced_reader::SlicedReader;
 
-use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
@@ -52,6 +54,11 @@
     }
 }
 
+/// Time before the deadline of a connection that each unit of its work is given.
+const TIME_PER_UNIT: Duration = Duration::from_millis(4);
+/// How much later a connection is served if its work begins too late: behind all that begin in time.
+const DELAY_OF_LATE_START: Duration = Duration::from_secs(1);
+
 /// The work that a group of connections may do between two turns of the other tasks.
 #[derive(Clone, Debug)]
 pub struct TurnBudget {
@@ -63,55 +70,71 @@
 #[derive(Debug)]
 struct Queue {
     free_units: u64,
-    waiting: BTreeMap<Place, Waiter>,
+    /// Work that waits or was granted and has not begun yet, by its number.
+    requests: BTreeMap<u64, Request>,
+    /// The order in which waiting work is granted.
+    order: BTreeSet<Place>,
     next_number: u64,
 }
 
-/// A place in the queue.
+/// The place of a request in the order of service.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Place {
     /// When the connection was accepted, later by the work that it needs.
     rank: Instant,
-    connection_id: u64,
     number: u64,
 }
 
-/// Work in the queue.
+/// A request for units.
 #[derive(Debug)]
-struct Waiter {
+struct Request {
     work: Work,
     waker: Waker,
-    is_granted: bool,
+    /// The place of the request while it waits; `None` once it is granted.
+    place: Option<Place>,
+    /// Time after which the request goes behind the others; `None` if work for its connection has begun.
+    latest_start: Option<Instant>,
+    /// Whether the request went behind the others.
+    is_postponed: bool,
 }
 
 /// The account of one connection at a budget.
 #[derive(Clone, Debug)]
 pub struct BudgetAccount {
     budget: TurnBudget,
-    connection_id: u64,
     accepted_at: Instant,
+    deadline: Instant,
+    work: Arc<AccountedWork>,
+}
+
+/// The work of one connection.
+#[derive(Debug, Default)]
+struct AccountedWork {
     /// Bytes read, with the bytes that other work would have paid for.
-    spent_bytes: Arc<AtomicU64>,
+    spent_bytes: AtomicU64,
     /// Where the message under way ends, in bytes from the beginning of the connection.
-    message_end: Arc<AtomicU64>,
+    message_end: AtomicU64,
+    /// Whether units were granted.
+    has_begun: AtomicBool,
+    /// Whether the first units were granted too late to complete the message before the deadline.
+    has_begun_late: AtomicBool,
 }
 
 impl TurnBudget {
     /// Creates a full budget. It is refilled only while [`refill`](Self::refill) runs.
     pub fn new() -> TurnBudget {
-        let queue = Queue { free_units: UNITS_PER_TURN, waiting: BTreeMap::new(), next_number: 0 };
+        let queue = Queue {
+            free_units: UNITS_PER_TURN,
+            requests: BTreeMap::new(),
+            order: BTreeSet::new(),
+            next_number: 0,
+        };
         TurnBudget { queue: Arc::new(Mutex::new(queue)), was_used: Arc::default() }
     }
 
-    /// Opens the account of a connection that has just been accepted.
-    pub fn open_account(&self, connection_id: u64) -> BudgetAccount {
-        BudgetAccount {
-            budget: self.clone(),
-            connection_id,
-            accepted_at: Instant::now(),
-            spent_bytes: Arc::default(),
-            message_end: Arc::default(),
-        }
+    /// Opens the account of a connection that has just been accepted and must name its client by `deadline`.
+    pub fn open_account(&self, deadline: Instant) -> BudgetAccount {
+        BudgetAccount { budget: self.clone(), accepted_at: Instant::now(), deadline, work: Arc::default() }
     }
 
     /// Fills the budget again each time the other tasks have had their turn; never returns.
@@ -132,16 +155,35 @@
 }
 
 impl Queue {
-    /// Grants units to the first in the queue, as far as they last.
+    /// Grants units to the first in the order, as far as they last.
     fn grant(&mut self) {
-        for waiter in self.waiting.values_mut().filter(|waiter| !waiter.is_granted) {
-            let units = waiter.work.units();
+        let now = Instant::now();
+        while let Some(place) = self.order.first().copied() {
+            let Some(request) = self.requests.get_mut(&place.number) else { return };
+            if request.latest_start.is_some_and(|latest_start| latest_start < now) {
+                self.postpone(place);
+                continue;
+            }
+            let units = request.work.units();
             if units > self.free_units {
                 return;
             }
             self.free_units -= units;
-            waiter.is_granted = true;
-            waiter.waker.wake_by_ref();
+            self.order.remove(&place);
+            request.place = None;
+            request.waker.wake_by_ref();
+        }
+    }
+
+    /// Moves a request for which it is too late behind the others.
+    fn postpone(&mut self, place: Place) {
+        let later = Place { rank: place.rank + DELAY_OF_LATE_START, ..place };
+        self.order.remove(&place);
+        self.order.insert(later);
+        if let Some(request) = self.requests.get_mut(&place.number) {
+            request.place = Some(later);
+            request.latest_start = None;
+            request.is_postponed = true;
         }
     }
 }
@@ -149,16 +191,18 @@
 impl BudgetAccount {
     /// Waits until the budget allows this work.
     pub fn spend(&self, work: Work) -> Spending {
-        Spending { account: self.clone(), work, place: None }
+        Spending { account: self.clone(), work, number: None }
     }
 
     /// Records that a message has begun which ends after this number of bytes of the connection.
     pub fn set_message_end(&self, message_end: u64) {
-        self.message_end.store(message_end, Ordering::Relaxed);
+        self.work.message_end.store(message_end, Ordering::Relaxed);
     }
 
-    /// Records work that was paid for; a slice counts once it is read.
-    fn add_spent(&self, work: Work) {
+    /// Records that work begins. A slice counts once it is read.
+    fn begin(&self, work: Work, is_postponed: bool) {
+        self.work.has_begun.store(true, Ordering::Relaxed);
+        self.work.has_begun_late.fetch_or(is_postponed, Ordering::Relaxed);
         match work {
             Work::Slice => {}
             Work::Pong | Work::HttpResponse => self.add_read(work.units() as usize * SLICE_BYTES),
@@ -167,16 +211,32 @@
 
     /// Records bytes that were read.
     fn add_read(&self, bytes: usize) {
-        self.spent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.work.spent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Time after which the first request of the connection goes behind the others; `None` for later requests.
+    fn latest_start(&self) -> Option<Instant> {
+        if self.work.has_begun.load(Ordering::Relaxed) {
+            return None;
+        }
+        self.deadline.checked_sub(TIME_PER_UNIT * self.needed_units())
     }
 
-    /// When the connection was accepted, later by the work that it will have caused once the message under
-    /// way is complete.
+    /// When the connection was accepted, later by the work that it needs.
     fn rank(&self) -> Instant {
-        let spent_bytes = self.spent_bytes.load(Ordering::Relaxed);
-        let needed_bytes = spent_bytes.max(self.message_end.load(Ordering::Relaxed));
-        let units = u32::try_from(needed_bytes / SLICE_BYTES as u64).unwrap_or(u32::MAX);
-        self.accepted_at + DELAY_PER_UNIT * units
+        let delay = if self.work.has_begun_late.load(Ordering::Relaxed) {
+            DELAY_OF_LATE_START
+        } else {
+            Duration::ZERO
+        };
+        self.accepted_at + DELAY_PER_UNIT * self.needed_units() + delay
+    }
+
+    /// The work that the connection will have caused once the message under way is complete.
+    fn needed_units(&self) -> u32 {
+        let spent_bytes = self.work.spent_bytes.load(Ordering::Relaxed);
+        let needed_bytes = spent_bytes.max(self.work.message_end.load(Ordering::Relaxed));
+        u32::try_from(needed_bytes / SLICE_BYTES as u64).unwrap_or(u32::MAX)
     }
 }
 
@@ -185,30 +245,28 @@
 pub struct Spending {
     account: BudgetAccount,
     work: Work,
-    /// The place in the queue while this waits.
-    place: Option<Place>,
+    /// The number of the request, once it is made.
+    number: Option<u64>,
 }
 
 impl Spending {
-    /// Joins the queue, and takes what it grants at once.
-    fn join(&mut self, queue: &mut Queue, waker: &Waker) {
-        let place = Place {
-            rank: self.account.rank(),
-            connection_id: self.account.connection_id,
-            number: queue.next_number,
+    /// Makes the request, and grants it if there are units left for it.
+    fn request(&mut self, queue: &mut Queue, waker: &Waker) -> u64 {
+        let number = queue.next_number;
+        let place = Place { rank: self.account.rank(), number };
+        let request = Request {
+            work: self.work,
+            waker: waker.clone(),
+            place: Some(place),
+            latest_start: self.account.latest_start(),
+            is_postponed: false,
         };
         queue.next_number += 1;
-        queue.waiting.insert(place, Waiter { work: self.work, waker: waker.clone(), is_granted: false });
-        self.place = Some(place);
+        queue.requests.insert(number, request);
+        queue.order.insert(place);
         queue.grant();
-    }
-
-    /// Leaves the queue with the units that were granted.
-    fn leave(&mut self, queue: &mut Queue) {
-        if let Some(place) = self.place.take() {
-            queue.waiting.remove(&place);
-        }
-        self.account.add_spent(self.work);
+        self.number = Some(number);
+        number
     }
 }
 
@@ -219,29 +277,38 @@
         let this = &mut *self;
         let budget = this.account.budget.clone();
         let mut queue = budget.queue();
-        if this.place.is_none() {
-            this.join(&mut queue, context.waker());
-            budget.was_used.notify_one();
-        }
-        if let Some(waiter) = this.place.and_then(|place| queue.waiting.get_mut(&place)) {
-            if !waiter.is_granted {
-                waiter.waker.clone_from(context.waker());
-                return Poll::Pending;
+        let number = match this.number {
+            Some(number) => number,
+            None => {
+                budget.was_used.notify_one();
+                this.request(&mut queue, context.waker())
             }
+        };
+        let Entry::Occupied(mut request) = queue.requests.entry(number) else { return Poll::Pending };
+        if request.get().place.is_some() {
+            request.get_mut().waker.clone_from(context.waker());
+            return Poll::Pending;
         }
-        this.leave(&mut queue);
+        let is_postponed = request.remove().is_postponed;
+        this.number = None;
+        this.account.begin(this.work, is_postponed);
         Poll::Ready(())
     }
 }
 
 impl Drop for Spending {
     fn drop(&mut self) {
-        let Some(place) = self.place else { return };
+        let Some(number) = self.number else { return };
         let mut queue = self.account.budget.queue();
-        let granted = queue.waiting.remove(&place).filter(|waiter| waiter.is_granted);
-        if let Some(waiter) = granted {
-            queue.free_units += waiter.work.units();
-            queue.grant();
+        let Some(request) = queue.requests.remove(&number) else { return };
+        match request.place {
+            Some(place) => {
+                queue.order.remove(&place);
+            }
+            None => {
+                queue.free_units += request.work.units();
+                queue.grant();
+            }
         }
     }
 }
--- a/crates/wingfold-node/src/turn_budget/tests.rs
+++ b/crates/wingfold-node/src/turn_budget/tests.rs
@@ -15,6 +15,13 @@
 const MIB: u64 = 1 << 20;
 const MS: Duration = Duration::from_millis(1);
 
+/// Time that a connection has for naming its client.
+const TIME_LIMIT: Duration = Duration::from_secs(1);
+
+fn open_account(budget: &TurnBudget) -> BudgetAccount {
+    budget.open_account(Instant::now() + TIME_LIMIT)
+}
+
 /// Starts a task that reads without end and adds up what it has read.
 fn spawn_endless_reader(mut reader: SlicedReader<tokio::io::Repeat>, total: &Arc<AtomicUsize>) {
     let total = total.clone();
@@ -43,7 +50,7 @@
 #[tokio::test]
 async fn reader_lets_other_tasks_run_after_each_slice() {
     let total = Arc::default();
-    let mut reader = SlicedReader::new(tokio::io::repeat(b'x'), TurnBudget::new().open_account(0));
+    let mut reader = SlicedReader::new(tokio::io::repeat(b'x'), open_account(&TurnBudget::new()));
     reader.leave_budget();
     spawn_endless_reader(reader, &total);
     let most = most_read_in_a_turn(&total, 0).await;
@@ -55,8 +62,8 @@
 async fn readers_with_a_budget_share_it_however_many_they_are() {
     const READERS: usize = 500;
     let (total, budget) = (Arc::default(), TurnBudget::new());
-    for number in 0..READERS as u64 {
-        let account = budget.open_account(number);
+    for _ in 0..READERS {
+        let account = open_account(&budget);
         spawn_endless_reader(SlicedReader::new(tokio::io::repeat(b'x'), account), &total);
     }
     let refilled = budget.clone();
@@ -72,12 +79,12 @@
 async fn order_of_service(connections: &[(u64, Duration, u64)]) -> Vec<u64> {
     let budget = TurnBudget::new();
     for _ in 0..UNITS_PER_TURN {
-        budget.open_account(0).spend(Work::Slice).await;
+        open_account(&budget).spend(Work::Slice).await;
     }
     let (sender, mut order) = tokio::sync::mpsc::unbounded_channel();
     for (connection_id, time_since_last, message_end) in connections.iter().copied() {
         advance(time_since_last).await;
-        let (account, sender) = (budget.open_account(connection_id), sender.clone());
+        let (account, sender) = (open_account(&budget), sender.clone());
         account.set_message_end(message_end);
         tokio::spawn(async move {
             for _ in 0..UNITS_PER_TURN {
@@ -110,14 +117,29 @@
     assert_eq!(order_of_service(&connections).await, [2, 1, 3]);
 }
 
+/// Guards against a fault of a trial: beside more long messages than can be read in time, work for the oldest was
+/// wasted, since their time ended before it was done.
+#[tokio::test(start_paused = true)]
+async fn connection_whose_work_begins_too_late_comes_after_those_in_time() {
+    let time_for_work = TIME_PER_UNIT * (MIB / SLICE_BYTES as u64) as u32;
+    let latest_start = TIME_LIMIT - time_for_work;
+    let connections = [(1, MS, MIB), (2, latest_start - MS, MIB), (3, MS, MIB)];
+    assert_eq!(order_of_service(&connections).await, [1, 2, 3]);
+    let connections = [(1, MS, MIB), (2, latest_start, MIB), (3, MS, MIB)];
+    assert_eq!(order_of_service(&connections).await, [2, 3, 1]);
+    // A message that arrives late but is short can still be read.
+    let connections = [(1, MS, 12_000), (2, latest_start, MIB), (3, MS, MIB)];
+    assert_eq!(order_of_service(&connections).await, [1, 2, 3]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn connection_that_has_had_much_work_done_comes_later() {
     let budget = TurnBudget::new();
-    let busy = budget.open_account(1);
+    let busy = open_account(&budget);
     for _ in 0..3 {
         busy.spend(Work::Pong).await;
     }
-    let idle = budget.open_account(2);
+    let idle = open_account(&budget);
     assert!(idle.rank() < busy.rank());
     assert_eq!(busy.rank(), idle.rank() + DELAY_PER_UNIT * 3);
 }
@@ -126,8 +148,8 @@
 async fn units_of_a_connection_that_ends_while_it_waits_go_to_others() {
     let budget = TurnBudget::new();
     let waiting: Vec<_> = (0..100)
-        .map(|connection_id| {
-            let account = budget.open_account(connection_id);
+        .map(|_| {
+            let account = open_account(&budget);
             tokio::spawn(async move { account.spend(Work::HttpResponse).await })
         })
         .collect();
@@ -138,6 +160,6 @@
     for task in waiting {
         let _ = task.await;
     }
-    assert!(budget.queue().waiting.is_empty());
+    assert!(budget.queue().requests.is_empty() && budget.queue().order.is_empty());
     assert!(budget.queue().free_units <= UNITS_PER_TURN);
 }
