Evict HTTP clients after connections that have sent nothing

What callers saw: with all descriptors in use by strangers, a request for /metrics was closed without a response.

Cause: since HTTP responses share the turn budget, a request may wait for its turn. Its connection ranked with those that have sent nothing, and so was evicted among the first.

Change: a connection ranks as sending once its first four bytes have arrived, whatever they begin.

Tests: `http_client_is_evicted_after_connections_that_have_sent_nothing` failed before.

--- a/crates/wingfold-node/src/accept.rs
+++ b/crates/wingfold-node/src/accept.rs
@@ -204,12 +204,12 @@
     admission: &Arc<Admission>,
 ) -> Result<Identified, CloseReason> {
     let first_bytes = read_first_bytes(&mut read_half).await?;
+    unidentified.mark_as_sending();
     if frame::is_http(&first_bytes) {
         let request = tokio::io::join(Cursor::new(first_bytes).chain(read_half), write_half);
         ops::serve(request, &account, admission).await;
         return Ok(Identified::Http);
     }
-    unidentified.mark_as_sending();
     let mut reader =
         MessageReader::new(first_bytes, read_half, admission.bounds.idle_timeout, admission.metrics.clone());
     loop {
--- a/crates/wingfold-node/src/accept/tests.rs
+++ b/crates/wingfold-node/src/accept/tests.rs
@@ -5,6 +5,7 @@
 use crate::{metrics::Metrics, ops, Config, Precedence};
 use serde_json::json;
 use std::io::Write;
+use tokio::io::AsyncWriteExt;
 use wingfold_test_support as support;
 
 /// Creates an admission with the given number of connections, and the receiver of its events.
@@ -67,6 +68,33 @@
     assert_eq!(admission.metrics.connections_open.get(), 0);
 }
 
+/// Sends an HTTP request and returns the first bytes of the response.
+async fn request_health(client: &mut TcpStream) -> [u8; 8] {
+    client.write_all(b"GET /healthz HTTP/1.1\r\nhost: d\r\n\r\n").await.unwrap();
+    let mut response = [0; 4 << 10];
+    let length = client.read(&mut response).await.unwrap();
+    assert!(length >= 8, "the connection was closed");
+    *response.first_chunk().unwrap()
+}
+
+/// Guards against a fault of the limit on work: an operator whose request waited for its turn was evicted like
+/// a connection that has sent nothing.
+#[tokio::test]
+async fn http_client_is_evicted_after_connections_that_have_sent_nothing() {
+    let (admission, _receiver) = admission(16);
+    let (client, accepted, address) = connection_pair().await;
+    client.set_nonblocking(true).unwrap();
+    let mut client = TcpStream::from_std(client).unwrap();
+    let (slot, unidentified) = admission.admit().unwrap();
+    tokio::spawn(handle_connection(accepted, address, slot, unidentified, admission.clone()));
+    assert_eq!(&request_health(&mut client).await, b"HTTP/1.1");
+    let (_silent_slot, silent) = admission.admit().unwrap();
+    assert!(admission.evict_unidentified());
+    let evicted = timeout_at(Instant::now() + Duration::from_secs(5), silent.evicted()).await;
+    evicted.expect("the HTTP client was evicted before the silent connection");
+    assert_eq!(&request_health(&mut client).await, b"HTTP/1.1");
+}
+
 #[test]
 fn only_resource_errors_of_accept_evict_connections() {
     use io::ErrorKind::*;
--- a/crates/wingfold-node/src/admission.rs
+++ b/crates/wingfold-node/src/admission.rs
@@ -189,8 +189,8 @@
         self.connection_id
     }
 
-    /// Records that the connection has sent the first bytes of a message, so that connections which have sent
-    /// nothing are evicted before it.
+    /// Records that the connection has sent the first bytes of a message or of an HTTP request, so that
+    /// connections which have sent nothing are evicted before it.
     pub fn mark_as_sending(&self) {
         let mut unidentified = lock(&self.admission.unidentified);
         if let Some(evicted) = unidentified.remove(&self.rank(false)) {
--- a/crates/wingfold/tests/bad_clients.rs
+++ b/crates/wingfold/tests/bad_clients.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::messages::{collector_hello, is_complete, load_report, ping, proxy_hello, usage_report};
-use common::{three_host_deployment, wait_until, Client, Director, Discovery, ProxyTables};
+use common::{three_host_deployment, wait_until, Client, Director, Discovery, ProxyTables, StopOnDrop};
 use serde_json::json;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -192,6 +192,7 @@
         }
         let is_stopped = AtomicBool::new(false);
         thread::scope(|scope| {
+            let _stop = StopOnDrop(&is_stopped);
             for _ in 0..STRANGERS {
                 scope.spawn(|| keep_busy(director.listen, flood, &is_stopped));
             }
@@ -202,7 +203,6 @@
             while tables.hosts("lookup").contains(&drained) {
                 tables.apply(&proxy.receive_update());
             }
-            is_stopped.store(true, Ordering::Relaxed);
             assert!(told.elapsed() < DRAIN_GRACE, "{:?} until the drain was sent", told.elapsed());
         });
     }
--- a/crates/wingfold/tests/common/mod.rs
+++ b/crates/wingfold/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -29,6 +29,16 @@
     }
 }
 
+/// Sets a flag when it is dropped, also by a panic: threads that run until the flag is set would otherwise keep
+/// a failed test from ending.
+pub struct StopOnDrop<'a>(pub &'a AtomicBool);
+
+impl Drop for StopOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// The listening address and the configuration of a director that is not started yet.
 pub struct DirectorSetup {
     /// The address for proxies, collectors and operators.
--- a/crates/wingfold/tests/streams.rs
+++ b/crates/wingfold/tests/streams.rs
@@ -9,6 +9,7 @@
 };
 use common::{
     endpoint, unique_loopback_ip, wait_until, Client, Director, DirectorSetup, Discovery, Host, ProxyTables,
+    StopOnDrop,
 };
 use serde_json::{json, Value};
 use std::collections::VecDeque;
@@ -327,6 +328,7 @@
     let director = setup.start();
     let (listen, stopped) = (director.listen, AtomicBool::new(false));
     thread::scope(|scope| {
+        let _stop = StopOnDrop(&stopped);
         // Waves of 100 connections, of which the last 400 stay open: a third send nothing, a third half a
         // message and a third a PING.
         scope.spawn(|| {
@@ -354,7 +356,6 @@
         );
         assert!(director.open_descriptors() < 256, "{} descriptors", director.open_descriptors());
         assert_eq!(director.metric("streams_joined_total"), 150);
-        stopped.store(true, Ordering::Relaxed);
     });
     assert!(director.resident_memory_kib() < 32 << 10, "{} KiB", director.resident_memory_kib());
 }
