Count the PONGs that wait for a client instead of queueing them

Cause: the bound counts the bytes that a client leaves unread, 19 for a PONG. Each one had a place in the queue of its own, which takes more than twice as much.

Change: one place in the queue stands for all PONGs that are pending when it is written. They count as unread bytes as before, and a client that reads nothing is closed at the same number of them.

Tests: `pongs_count_as_queued_bytes_and_take_one_place_in_the_queue`. Tests of the queue send through the function that the engine uses, since the other one has no caller left.

--- a/crates/wingfold-node/src/client.rs
+++ b/crates/wingfold-node/src/client.rs
@@ -76,7 +76,7 @@
             admission.collector_activity.record(zone);
         }
         if let Ok(Inbound::Ping) = message {
-            match sender.send(vec![admission.pong.clone()]) {
+            match sender.send_pong() {
                 Ok(()) => continue,
                 Err(SlowReader) => return CloseReason::SlowReader,
             }
--- a/crates/wingfold-node/src/collector.rs
+++ b/crates/wingfold-node/src/collector.rs
@@ -24,7 +24,8 @@
         Err(reason) => return CloseReason::InvalidMessage(reason),
     };
     admission.metrics.collectors_total.increment();
-    let (sender, writer) = outbox::channel(connection_id, admission.bounds.max_unread_bytes, None);
+    let (sender, writer) =
+        outbox::channel(connection_id, admission.bounds.max_unread_bytes, admission.pong.clone(), None);
     let _slot = admission.register_collector(&zone, sender.clone());
     let connection = ClientConnection {
         admission: &admission,
--- a/crates/wingfold-node/src/engine/tests.rs
+++ b/crates/wingfold-node/src/engine/tests.rs
@@ -59,7 +59,7 @@
         let list = InboundEvent::EndpointList { kind: EndpointListKind::Changes, list };
         engine.apply_inbound_event(list, &mut events);
         let proxy = ProxyId(second % 8);
-        let (connection, writer) = outbox::channel(u64::from(second), 1 << 20, None);
+        let (connection, writer) = outbox::channel(u64::from(second), 1 << 20, Default::default(), None);
         let connection_id = connection.connection_id;
         writers.insert(proxy, writer);
         let zone = ZoneId("a".into());
--- a/crates/wingfold-node/src/stream.rs
+++ b/crates/wingfold-node/src/stream.rs
@@ -38,8 +38,12 @@
         _ => return CloseReason::InvalidMessage(InvalidReason::Name),
     };
     let proxy = ProxyId(hello.proxy);
-    let (sender, writer) =
-        outbox::channel(connection_id, admission.bounds.max_unread_bytes, admission.write_delays.clone());
+    let (sender, writer) = outbox::channel(
+        connection_id,
+        admission.bounds.max_unread_bytes,
+        admission.pong.clone(),
+        admission.write_delays.clone(),
+    );
     let _disconnect = DisconnectOnDrop { proxy, connection_id, inbox: admission.inbox.clone() };
     admission.inbox.send(InboundEvent::ProxyConnected {
         proxy,
