Close a collector's connection for a younger one only when no descriptor is left

Cause: a zone had four places for its collector, and the oldest connection went for each new one.

Change: collectors share the descriptors with all others. When all are in use and no connection without a client is left to evict, a collector's connection is closed in a zone that has several, the one that has been silent for longest first. The collector reports each period, so that it is not the one.

Tests: `collector_is_closed_only_when_no_slot_is_free_and_it_was_silent_for_longest` checks each eviction of a full table.

--- a/crates/wingfold-node/src/admission.rs
+++ b/crates/wingfold-node/src/admission.rs
@@ -1,6 +1,9 @@
 //! Admission of connections: the limits on their number, the slots that connections hold, and the state that
 //! all of them share.
 
+mod collectors;
+
+use self::collectors::CollectorConnections;
 use crate::config::{Bounds, Config};
 use crate::inbox::InboundSender;
 use crate::log::RateLimitedLog;
@@ -47,8 +50,7 @@
     open_connections: AtomicUsize,
     /// Unidentified connections in the order of their eviction.
     unidentified: Mutex<BTreeMap<EvictionRank, Arc<Notify>>>,
-    /// Connected collectors by zone, oldest first.
-    collectors: Mutex<BTreeMap<Arc<str>, Vec<ConnectionSender>>>,
+    collectors: Mutex<CollectorConnections>,
 }
 
 /// Eviction order of unidentified connections: those that have sent nothing first, and the oldest first among
@@ -59,7 +61,7 @@
     connection_id: u64,
 }
 
-/// All slots are held by identified clients, so no connection can be evicted.
+/// All slots are held by identified clients whose connections are needed, so none can be evicted.
 #[derive(Debug, PartialEq)]
 pub struct NoFreeSlot;
 
@@ -75,7 +77,7 @@
     evicted: Arc<Notify>,
 }
 
-/// A collector's slot in its zone, released when it is dropped.
+/// A collector's connection in the list of its zone, removed when it is dropped.
 #[derive(Debug)]
 pub struct CollectorSlot<'a> {
     admission: &'a Admission,
@@ -135,9 +137,9 @@
     }
 
     /// Admits a connection whose client is not identified yet. If no slot is free, evicts another
-    /// unidentified connection; fails if there is none to evict.
+    /// unidentified connection or a collector's surplus one; fails if there is none to evict.
     pub fn admit(self: &Arc<Self>) -> Result<(ConnectionSlot, UnidentifiedSlot), NoFreeSlot> {
-        if self.is_full() && !self.evict_unidentified() {
+        if self.is_full() && !self.evict_unidentified() && !lock(&self.collectors).evict_surplus() {
             return Err(NoFreeSlot);
         }
         let open_connections = self.open_connections.fetch_add(1, Ordering::Relaxed) + 1;
@@ -163,15 +165,10 @@
         true
     }
 
-    /// Registers a collector's connection; closes the zone's oldest one if it already has the maximum number.
+    /// Registers a collector's connection.
     pub fn register_collector(&self, zone: &Arc<str>, connection: ConnectionSender) -> CollectorSlot<'_> {
         let connection_id = connection.connection_id;
-        let mut collectors = lock(&self.collectors);
-        let connections = collectors.entry(zone.clone()).or_default();
-        if connections.len() >= self.bounds.max_collectors_per_zone {
-            connections.remove(0).close();
-        }
-        connections.push(connection);
+        lock(&self.collectors).insert(zone, connection);
         CollectorSlot { admission: self, zone: zone.clone(), connection_id }
     }
 }
@@ -216,12 +213,17 @@
     }
 }
 
+impl CollectorSlot<'_> {
+    /// Records that the collector has sent a message.
+    pub fn record_activity(&self) {
+        self.admission.collector_activity.record(&self.zone);
+        lock(&self.admission.collectors).record_activity(&self.zone, self.connection_id);
+    }
+}
+
 impl Drop for CollectorSlot<'_> {
     fn drop(&mut self) {
-        let mut collectors = lock(&self.admission.collectors);
-        if let Some(connections) = collectors.get_mut(&self.zone) {
-            connections.retain(|connection| connection.connection_id != self.connection_id);
-        }
+        lock(&self.admission.collectors).remove(&self.zone, self.connection_id);
     }
 }
 
--- a/crates/wingfold-node/src/admission/tests.rs
+++ b/crates/wingfold-node/src/admission/tests.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 use crate::accept::tests::admission;
+use crate::outbox;
+use futures_util::FutureExt;
 
 #[test]
 fn eviction_starts_only_when_no_slot_is_free() {
@@ -29,6 +31,41 @@
     assert!(admission.admit().is_ok());
 }
 
+/// A client that has named a zone, with the sender that closes its connection.
+fn register_collector<'a>(
+    admission: &'a Arc<Admission>,
+    zone: &Arc<str>,
+) -> (ConnectionSlot, CollectorSlot<'a>, ConnectionSender) {
+    let (slot, unidentified) = admission.admit().unwrap();
+    let (sender, _writer) = outbox::channel(unidentified.connection_id(), 1 << 10, Bytes::new(), None);
+    let collector = admission.register_collector(zone, sender.clone());
+    (slot, collector, sender)
+}
+
+fn is_closed(sender: &ConnectionSender) -> bool {
+    sender.close_requested().now_or_never().is_some()
+}
+
+/// Guards against a fault of a trial: a collector lost its connection to the fourth client that named its zone
+/// after it, although descriptors were left.
+#[test]
+fn collector_is_closed_only_when_no_slot_is_free_and_it_was_silent_for_longest() {
+    let (admission, _receiver) = admission(8);
+    let [a, b] = ["a", "b"].map(Arc::<str>::from);
+    let only_one_of_its_zone = register_collector(&admission, &b);
+    let collectors: Vec<_> = (0..6).map(|_| register_collector(&admission, &a)).collect();
+    let proxy = admission.admit().unwrap().0;
+    assert!(!collectors.iter().any(|(.., sender)| is_closed(sender)), "a slot was free for each");
+    collectors[0].1.record_activity();
+    for silent in &collectors[1..] {
+        assert!(admission.admit().is_ok());
+        assert!(is_closed(&silent.2));
+    }
+    assert_eq!(admission.admit().unwrap_err(), NoFreeSlot);
+    assert!(!is_closed(&collectors[0].2) && !is_closed(&only_one_of_its_zone.2));
+    drop(proxy);
+}
+
 #[test]
 fn connection_ids_rise_in_order_of_admission() {
     let (admission, _receiver) = admission(9);
--- a/crates/wingfold-node/src/client.rs
+++ b/crates/wingfold-node/src/client.rs
@@ -1,7 +1,7 @@
 //! Serves a connection whose client is identified. Reading and writing run concurrently, so that neither
 //! blocks the other.
 
-use crate::admission::Admission;
+use crate::admission::{Admission, CollectorSlot};
 use crate::inbox::InboundEvent;
 use crate::incoming::{CloseReason, MessageReader};
 use crate::message::{Inbound, InvalidReason};
@@ -26,9 +26,8 @@
     pub sender: &'a ConnectionSender,
     /// Writes the messages that `sender` queues.
     pub writer: ConnectionWriter,
-    /// The zone whose collector the client is, if it is one. Each of its messages counts as activity of that
-    /// zone's collector.
-    pub collects_from: Option<&'a str>,
+    /// The slot of the client if it is a collector. Each of its messages is recorded there.
+    pub collector: Option<&'a CollectorSlot<'a>>,
 }
 
 /// Serves a connection until it ends, and returns why.
@@ -39,12 +38,12 @@
     connection: ClientConnection<'_>,
     translate: impl Fn(Inbound) -> Result<InboundEvent, InvalidReason>,
 ) -> CloseReason {
-    let ClientConnection { admission, reader, write_half, sender, writer, collects_from } = connection;
+    let ClientConnection { admission, reader, write_half, sender, writer, collector } = connection;
     tokio::select! {
         // Once a close is requested, nothing more is read or written: the branches are polled in this order.
         biased;
         () = sender.close_requested() => CloseReason::ClosedByDirector,
-        reason = read_messages(admission, reader, sender, collects_from, translate) => reason,
+        reason = read_messages(admission, reader, sender, collector, translate) => reason,
         written = writer.write_to(write_half) => match written {
             Ok(()) => CloseReason::ClosedByDirector,
             Err(error) => CloseReason::ConnectionError(error),
@@ -57,7 +56,7 @@
     admission: &Admission,
     mut reader: MessageReader,
     sender: &ConnectionSender,
-    collects_from: Option<&str>,
+    collector: Option<&CollectorSlot<'_>>,
     translate: impl Fn(Inbound) -> Result<InboundEvent, InvalidReason>,
 ) -> CloseReason {
     let mut read_since_yield = 0;
@@ -72,8 +71,8 @@
             Err(reason) => return reason,
         };
         // An invalid message also shows that the collector is alive.
-        if let Some(zone) = collects_from {
-            admission.collector_activity.record(zone);
+        if let Some(collector) = collector {
+            collector.record_activity();
         }
         if let Ok(Inbound::Ping) = message {
             match sender.send_pong() {
--- a/crates/wingfold-node/src/collector.rs
+++ b/crates/wingfold-node/src/collector.rs
@@ -26,14 +26,14 @@
     admission.metrics.collectors_total.increment();
     let (sender, writer) =
         outbox::channel(connection_id, admission.bounds.max_unread_bytes, admission.pong.clone(), None);
-    let _slot = admission.register_collector(&zone, sender.clone());
+    let slot = admission.register_collector(&zone, sender.clone());
     let connection = ClientConnection {
         admission: &admission,
         reader,
         write_half,
         sender: &sender,
         writer,
-        collects_from: Some(&zone),
+        collector: Some(&slot),
     };
     client::serve(connection, |message| translate(message, &zone, &admission)).await
 }
--- a/crates/wingfold-node/src/stream.rs
+++ b/crates/wingfold-node/src/stream.rs
@@ -58,7 +58,7 @@
         write_half,
         sender: &sender,
         writer,
-        collects_from: None,
+        collector: None,
     };
     client::serve(connection, |message| translate(message, proxy, &admission)).await
 }
