Share a turn budget among identified clients, too

Beside 700 joined proxies that report without a pause, a proxy waited 97 ms for a PONG on average, and 131 ms at most.

Cause: a client read 8 KiB in a turn, and nothing bounded what all of them read together.

Change: clients share 64 slices of 8 KiB a turn in the order of asking, for all that goes beyond one KiB after each pause. A request that is granted at once no longer wakes its own task: that made a yield ineffective. The buffer of a writer is flushed before it grows, since more clients that read nothing now stay connected at once (32,928 KiB before that with 700).

Tests: `identified_clients_share_a_budget_however_many_they_are`. The tests of yields run on the budget of clients; their bounds are the same, and they found the needless wake.

--- a/crates/wingfold-node/src/accept.rs
+++ b/crates/wingfold-node/src/accept.rs
@@ -26,7 +26,8 @@
 pub async fn serve(listener: TcpListener, admission: Arc<Admission>) {
     tokio::select! {
         () = accept_connections(listener, &admission) => {}
-        () = admission.turn_budget.refill() => {}
+        () = admission.unidentified_budget.refill() => {}
+        () = admission.client_budget.refill() => {}
     }
 }
 
@@ -178,7 +179,7 @@
     let deadline = Instant::now() + admission.bounds.identification_timeout;
     connection.set_nodelay(true)?;
     let (read_half, write_half) = connection.into_split();
-    let account = admission.turn_budget.open_account(deadline);
+    let account = admission.unidentified_budget.open_account(Some(deadline));
     let read_half = SlicedReader::new(read_half, account.clone());
     // Bytes that are ready to be read take precedence over an eviction or an expired deadline: a proxy whose
     // first message has arrived completely must be identified, not closed.
@@ -220,11 +221,11 @@
                 writer.send(admission.pong.clone()).await?;
             }
             Inbound::ProxyHello(hello) => {
-                reader.leave_turn_budget();
+                reader.identify(admission.client_budget.open_account(None));
                 return Ok(Identified::Proxy(hello, Box::new(reader), write_half));
             }
             Inbound::CollectorHello(hello) => {
-                reader.leave_turn_budget();
+                reader.identify(admission.client_budget.open_account(None));
                 return Ok(Identified::Collector(hello, Box::new(reader), write_half));
             }
             _ => return Err(CloseReason::InvalidMessage(InvalidReason::Turn)),
--- a/crates/wingfold-node/src/admission.rs
+++ b/crates/wingfold-node/src/admission.rs
@@ -34,7 +34,9 @@
     /// The encoded answer to a `PING`.
     pub pong: Bytes,
     /// Bounds the work of unidentified connections between two turns of the other tasks.
-    pub turn_budget: TurnBudget,
+    pub unidentified_budget: TurnBudget,
+    /// Bounds the work of identified clients between two turns of the other tasks.
+    pub client_budget: TurnBudget,
     /// Rate limit of log lines about unidentified connections.
     pub unidentified_log: RateLimitedLog,
     /// Records the time from a decision until the last byte of its update is written; `None` unless metrics
@@ -106,7 +108,8 @@
             inbox,
             metrics,
             pong: message::encode(&Outbound::Pong),
-            turn_budget: TurnBudget::new(),
+            unidentified_budget: TurnBudget::for_unidentified(),
+            client_budget: TurnBudget::for_clients(),
             unidentified_log: RateLimitedLog::default(),
             write_delays,
             collector_activity,
--- a/crates/wingfold-node/src/client/tests.rs
+++ b/crates/wingfold-node/src/client/tests.rs
@@ -13,7 +13,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use tokio::io::AsyncReadExt;
-use tokio::time::Instant;
 use wingfold_test_support::Client;
 
 #[tokio::test]
@@ -27,9 +26,9 @@
     let mut first_bytes = [0; LENGTH_BYTES];
     accepted.read_exact(&mut first_bytes).await.unwrap();
     let (read_half, write_half) = accepted.into_split();
-    let account = admission.turn_budget.open_account(Instant::now());
-    let mut read_half = SlicedReader::new(read_half, account);
-    read_half.leave_budget();
+    let account = admission.client_budget.open_account(None);
+    let mut read_half = SlicedReader::new(read_half, account.clone());
+    read_half.identify(account);
     let bounds = &admission.bounds;
     let reader = MessageReader::new(first_bytes, read_half, bounds.idle_timeout, admission.metrics.clone());
     let hello = ProxyHello { proxy: 3, zone: "a".into(), requests_per_s: 1.0 };
--- a/crates/wingfold-node/src/incoming.rs
+++ b/crates/wingfold-node/src/incoming.rs
@@ -3,7 +3,7 @@
 use crate::frame::{self, FrameDecoder, FrameError};
 use crate::message::{self, DecodeError, Inbound, InvalidReason};
 use crate::metrics::Metrics;
-use crate::turn_budget::SlicedReader;
+use crate::turn_budget::{BudgetAccount, SlicedReader};
 use futures_util::StreamExt;
 use std::io::{Cursor, ErrorKind};
 use std::sync::Arc;
@@ -80,15 +80,15 @@
         idle_timeout: Duration,
         metrics: Arc<Metrics>,
     ) -> Self {
-        let decoder = FrameDecoder::new(rest.account().cloned());
+        let decoder = FrameDecoder::new(Some(rest.account().clone()));
         let bytes = Cursor::new(first_bytes).chain(rest);
         let frames = FramedRead::new(bytes, decoder);
         MessageReader { frames, idle_timeout, metrics }
     }
 
-    /// Stops sharing the turn budget of unidentified connections: the connection has named its client.
-    pub fn leave_turn_budget(&mut self) {
-        self.frames.get_mut().get_mut().1.leave_budget();
+    /// Shares the turn budget of clients from now on: the connection has named its client.
+    pub fn identify(&mut self, account: BudgetAccount) {
+        self.frames.get_mut().get_mut().1.identify(account);
     }
 
     /// Reads the next message; the inner error says why a message is invalid, the outer one why the
--- a/crates/wingfold-node/src/outbox.rs
+++ b/crates/wingfold-node/src/outbox.rs
@@ -16,6 +16,10 @@
 /// Limit on the frames that are written before the connection is flushed.
 const MAX_FRAMES_PER_FLUSH: usize = 64;
 
+/// Encoded bytes after which the connection is flushed: half of the buffer that a `FramedWrite` begins with, so
+/// that it does not grow for short frames.
+const MAX_BUFFERED_BYTES: usize = 4 << 10;
+
 /// What waits to be written.
 #[derive(Debug)]
 enum Queued {
@@ -150,6 +154,7 @@
     /// that wait in the queue are written together and then flushed.
     pub async fn write_to(mut self, connection: impl AsyncWrite + Unpin) -> std::io::Result<()> {
         let mut writer = FramedWrite::new(connection, frame::codec());
+        writer.set_backpressure_boundary(MAX_BUFFERED_BYTES);
         let mut received = Vec::new();
         let mut decisions = Vec::new();
         while self.queue.recv_many(&mut received, MAX_FRAMES_PER_FLUSH).await > 0 {
--- a/crates/wingfold-node/src/turn_budget.rs
+++ b/crates/wingfold-node/src/turn_budget.rs
@@ -2,8 +2,11 @@
 //!
 //! All tasks share one thread and are polled in turn. A connection that has much to read would keep the
 //! engine, discovery and the other connections waiting, and many of them would add up. So a connection reads
-//! [`SLICE_BYTES`] before the other tasks get their turn, and all connections that have not named a client
-//! share a [`TurnBudget`] for everything beyond their first [`FREE_BYTES`]. They are served by age, each as if it had
+//! [`SLICE_BYTES`] before the other tasks get their turn, and all connections share a [`TurnBudget`] for
+//! everything beyond [`FREE_BYTES`].
+//!
+//! Clients share one budget, in the order of asking. Connections that have not named a client share another,
+//! and have [`FREE_BYTES`] only once. They are served by age, each as if it had
 //! been accepted [`DELAY_PER_UNIT`] later for each unit of work that it needs. So whoever needs little passes
 //! those that need much, and whoever needs much is passed by younger connections for a bounded time only. A
 //! connection goes behind the others if nothing was done for it until its deadline is too close: the work would
@@ -27,10 +30,12 @@
 
 /// Bytes that a connection reads before the other tasks get their turn.
 pub const SLICE_BYTES: usize = 8 << 10;
-/// Bytes that a connection may read before it pays. The message that names a client has some hundred bytes.
+/// Bytes that a connection may read before it pays. A message has some hundred bytes.
 const FREE_BYTES: usize = 1 << 10;
-/// Units that a budget allows between two turns of the other tasks.
-const UNITS_PER_TURN: u64 = 16;
+/// Units that connections without a client may have between two turns of the other tasks.
+const UNIDENTIFIED_UNITS: u64 = 16;
+/// Units that identified clients may have between two turns of the other tasks.
+const CLIENT_UNITS: u64 = 64;
 /// How much later a connection is served for each unit of work that it needs. The longest message (128 units)
 /// must leave most of the time for identification.
 const DELAY_PER_UNIT: Duration = Duration::from_millis(2);
@@ -63,6 +68,7 @@
 /// The work that a group of connections may do between two turns of the other tasks.
 #[derive(Clone, Debug)]
 pub struct TurnBudget {
+    units_per_turn: u64,
     queue: Arc<Mutex<Queue>>,
     was_used: Arc<Notify>,
 }
@@ -81,7 +87,7 @@
 /// The place of a request in the order of service.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Place {
-    /// When the connection was accepted, later by the work that it needs.
+    /// Requests with an earlier rank are granted before.
     rank: Instant,
     number: u64,
 }
@@ -90,7 +96,9 @@
 #[derive(Debug)]
 struct Request {
     work: Work,
-    waker: Waker,
+    /// Wakes the task that waits; `None` if the request is granted at once. A task that is woken without need
+    /// would not let the others run when it yields.
+    waker: Option<Waker>,
     /// The place of the request while it waits; `None` once it is granted.
     place: Option<Place>,
     /// Time after which the request goes behind the others; `None` if work for its connection has begun.
@@ -104,7 +112,8 @@
 pub struct BudgetAccount {
     budget: TurnBudget,
     accepted_at: Instant,
-    deadline: Instant,
+    /// When the connection must have named its client; `None` once it has.
+    deadline: Option<Instant>,
     work: Arc<AccountedWork>,
 }
 
@@ -122,19 +131,30 @@
 }
 
 impl TurnBudget {
+    /// Creates the budget of connections that have not named a client.
+    pub fn for_unidentified() -> TurnBudget {
+        TurnBudget::new(UNIDENTIFIED_UNITS)
+    }
+
+    /// Creates the budget of identified clients.
+    pub fn for_clients() -> TurnBudget {
+        TurnBudget::new(CLIENT_UNITS)
+    }
+
     /// Creates a full budget. It is refilled only while [`refill`](Self::refill) runs.
-    pub fn new() -> TurnBudget {
+    fn new(units_per_turn: u64) -> TurnBudget {
         let queue = Queue {
-            free_units: UNITS_PER_TURN,
+            free_units: units_per_turn,
             requests: BTreeMap::new(),
             order: BTreeSet::new(),
             next_number: 0,
         };
-        TurnBudget { queue: Arc::new(Mutex::new(queue)), was_used: Arc::default() }
+        TurnBudget { units_per_turn, queue: Arc::new(Mutex::new(queue)), was_used: Arc::default() }
     }
 
-    /// Opens the account of a connection that has just been accepted and must name its client by `deadline`.
-    pub fn open_account(&self, deadline: Instant) -> BudgetAccount {
+    /// Opens the account of a connection that has just been accepted and must name its client by `deadline`, or
+    /// of an identified client, which has no deadline.
+    pub fn open_account(&self, deadline: Option<Instant>) -> BudgetAccount {
         BudgetAccount { budget: self.clone(), accepted_at: Instant::now(), deadline, work: Arc::default() }
     }
 
@@ -144,7 +164,7 @@
             self.was_used.notified().await;
             yield_now().await;
             let mut queue = self.queue();
-            queue.free_units = UNITS_PER_TURN;
+            queue.free_units = self.units_per_turn;
             queue.grant();
         }
     }
@@ -172,7 +192,9 @@
             self.free_units -= units;
             self.order.remove(&place);
             request.place = None;
-            request.waker.wake_by_ref();
+            if let Some(waker) = request.waker.take() {
+                waker.wake();
+            }
         }
     }
 
@@ -220,11 +242,15 @@
         if self.work.has_begun.load(Ordering::Relaxed) {
             return None;
         }
-        self.deadline.checked_sub(TIME_PER_UNIT * self.needed_units())
+        self.deadline?.checked_sub(TIME_PER_UNIT * self.needed_units())
     }
 
-    /// When the connection was accepted, later by the work that it needs.
+    /// The time of the request if the client is identified; otherwise when the connection was accepted, later by
+    /// the work that it needs.
     fn rank(&self) -> Instant {
+        if self.deadline.is_none() {
+            return Instant::now();
+        }
         let delay = if self.work.has_begun_late.load(Ordering::Relaxed) {
             DELAY_OF_LATE_START
         } else {
@@ -252,12 +278,12 @@
 
 impl Spending {
     /// Makes the request, and grants it if there are units left for it.
-    fn request(&mut self, queue: &mut Queue, waker: &Waker) -> u64 {
+    fn request(&mut self, queue: &mut Queue) -> u64 {
         let number = queue.next_number;
         let place = Place { rank: self.account.rank(), number };
         let request = Request {
             work: self.work,
-            waker: waker.clone(),
+            waker: None,
             place: Some(place),
             latest_start: self.account.latest_start(),
             is_postponed: false,
@@ -282,12 +308,12 @@
             Some(number) => number,
             None => {
                 budget.was_used.notify_one();
-                this.request(&mut queue, context.waker())
+                this.request(&mut queue)
             }
         };
         let Entry::Occupied(mut request) = queue.requests.entry(number) else { return Poll::Pending };
         if request.get().place.is_some() {
-            request.get_mut().waker.clone_from(context.waker());
+            request.get_mut().waker = Some(context.waker().clone());
             return Poll::Pending;
         }
         let is_postponed = request.remove().is_postponed;
--- a/crates/wingfold-node/src/turn_budget/sliced_reader.rs
+++ b/crates/wingfold-node/src/turn_budget/sliced_reader.rs
@@ -1,6 +1,6 @@
 //! A reader that lets the other tasks run after each slice.
 
-use super::{BudgetAccount, Spending, Work, FREE_BYTES, SLICE_BYTES};
+use super::{BudgetAccount, Work, FREE_BYTES, SLICE_BYTES};
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
@@ -8,50 +8,43 @@
 use tokio::io::{AsyncRead, AsyncReadExt, ReadBuf, Take};
 use tokio::task::yield_now;
 
-/// Reads in slices: after each, the other tasks get their turn, and the next one is paid for from a budget
-/// if the reader has an account.
+/// Reads in slices, each of which is paid for from a budget. After each slice of a client, the other tasks get
+/// their turn.
 pub struct SlicedReader<R> {
     /// Limited to the bytes that are left of the slice.
     inner: Take<R>,
-    /// Pays for slices; `None` once the connection has named its client.
-    account: Option<BudgetAccount>,
+    account: BudgetAccount,
+    is_identified: bool,
     /// Waits for the turn of the next slice.
-    next_slice: Option<NextSlice>,
-}
-
-/// What a reader waits for between two slices.
-enum NextSlice {
-    Paid(Spending),
-    AfterYield(Pin<Box<dyn Future<Output = ()> + Send + Sync>>),
+    next_slice: Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>,
 }
 
 impl<R: AsyncRead + Unpin> SlicedReader<R> {
-    /// Creates a reader that pays for all but the first [`FREE_BYTES`].
+    /// Creates the reader of a connection whose client is not identified. It pays for all but the first
+    /// [`FREE_BYTES`].
     pub fn new(inner: R, account: BudgetAccount) -> Self {
-        SlicedReader { inner: inner.take(FREE_BYTES as u64), account: Some(account), next_slice: None }
+        let inner = inner.take(FREE_BYTES as u64);
+        SlicedReader { inner, account, is_identified: false, next_slice: None }
     }
 
-    /// The account that pays for slices, until the connection has named its client.
-    pub fn account(&self) -> Option<&BudgetAccount> {
-        self.account.as_ref()
+    /// The account that pays for slices.
+    pub fn account(&self) -> &BudgetAccount {
+        &self.account
     }
 
-    /// Stops paying: the connection has named its client.
-    pub fn leave_budget(&mut self) {
-        self.account = None;
+    /// Continues as the reader of an identified client. It pays for all but [`FREE_BYTES`] each time that more
+    /// bytes arrive after it has read all.
+    pub fn identify(&mut self, account: BudgetAccount) {
+        self.account = account;
+        self.is_identified = true;
         self.next_slice = None;
     }
 
     fn poll_next_slice(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        let account = &self.account;
-        let next_slice = self.next_slice.get_or_insert_with(|| match account {
-            Some(account) => NextSlice::Paid(account.spend(Work::Slice)),
-            None => NextSlice::AfterYield(Box::pin(yield_now())),
-        });
-        match next_slice {
-            NextSlice::Paid(spending) => ready!(Pin::new(spending).poll(context)),
-            NextSlice::AfterYield(turn) => ready!(turn.as_mut().poll(context)),
-        }
+        let (account, is_identified) = (&self.account, self.is_identified);
+        let next_slice =
+            self.next_slice.get_or_insert_with(|| Box::pin(pay_for_slice(account.clone(), is_identified)));
+        ready!(next_slice.as_mut().poll(context));
         self.next_slice = None;
         self.inner.set_limit(SLICE_BYTES as u64);
         Poll::Ready(())
@@ -59,15 +52,22 @@
 
     /// Records what was read from the slice; `read` is `None` if nothing has arrived.
     fn record(&mut self, read: Option<usize>) {
-        match (&self.account, read) {
-            (Some(account), Some(read)) => account.add_read(read),
+        match read {
+            Some(read) => self.account.add_read(read),
             // The other tasks have their turn now.
-            (None, None) => self.inner.set_limit(SLICE_BYTES as u64),
-            _ => {}
+            None if self.is_identified => self.inner.set_limit(self.inner.limit().max(FREE_BYTES as u64)),
+            None => {}
         }
     }
 }
 
+async fn pay_for_slice(account: BudgetAccount, yields_first: bool) {
+    if yields_first {
+        yield_now().await;
+    }
+    account.spend(Work::Slice).await;
+}
+
 impl<R: AsyncRead + Unpin> AsyncRead for SlicedReader<R> {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/wingfold-node/src/turn_budget/tests.rs
+++ b/crates/wingfold-node/src/turn_budget/tests.rs
@@ -17,7 +17,7 @@
 const TIME_LIMIT: Duration = Duration::from_secs(1);
 
 fn open_account(budget: &TurnBudget) -> BudgetAccount {
-    budget.open_account(Instant::now() + TIME_LIMIT)
+    budget.open_account(Some(Instant::now() + TIME_LIMIT))
 }
 
 /// Starts a task that reads without end and adds up what it has read.
@@ -48,22 +48,24 @@
 #[tokio::test]
 async fn reader_lets_other_tasks_run_after_each_slice() {
     let total = Arc::default();
-    let mut reader = SlicedReader::new(tokio::io::repeat(b'x'), open_account(&TurnBudget::new()));
-    reader.leave_budget();
+    let mut reader =
+        SlicedReader::new(tokio::io::repeat(b'x'), open_account(&TurnBudget::for_unidentified()));
+    let budget = TurnBudget::for_clients();
+    reader.identify(budget.open_account(None));
+    tokio::spawn(async move { budget.refill().await });
     spawn_endless_reader(reader, &total);
     let most = most_read_in_a_turn(&total, 0).await;
     assert!(most > 0 && most <= SLICE_BYTES, "{most} bytes in a turn");
 }
 
-/// Guards against review case 9: many busy strangers added up to seconds between two turns of the engine.
 /// Guards against a fault of a trial: connections that send less than a slice and wait, again and again, paid for
 /// nothing.
 #[tokio::test]
 async fn reader_pays_for_all_but_its_first_bytes_however_small_the_pieces() {
-    let budget = TurnBudget::new();
+    let budget = TurnBudget::for_unidentified();
     let (mut sender, receiver) = tokio::io::duplex(READ_BYTES);
     let mut reader = SlicedReader::new(receiver, open_account(&budget));
-    let pieces = (FREE_BYTES + UNITS_PER_TURN as usize * SLICE_BYTES) / 512;
+    let pieces = (FREE_BYTES + UNIDENTIFIED_UNITS as usize * SLICE_BYTES) / 512;
     for _ in 0..pieces {
         sender.write_all(&[0; 512]).await.unwrap();
         reader.read_exact(&mut [0; 512]).await.unwrap();
@@ -76,10 +78,11 @@
     assert_eq!(reader.read_u8().await.unwrap(), 0);
 }
 
+/// Guards against review case 9: many busy strangers added up to seconds between two turns of the engine.
 #[tokio::test]
 async fn readers_with_a_budget_share_it_however_many_they_are() {
     const READERS: usize = 500;
-    let (total, budget) = (Arc::default(), TurnBudget::new());
+    let (total, budget) = (Arc::default(), TurnBudget::for_unidentified());
     for _ in 0..READERS {
         let account = open_account(&budget);
         spawn_endless_reader(SlicedReader::new(tokio::io::repeat(b'x'), account), &total);
@@ -88,15 +91,31 @@
     tokio::spawn(async move { refilled.refill().await });
     // Each reader has its free bytes before it shares the budget.
     let most = most_read_in_a_turn(&total, READERS).await;
-    assert!(most > 0 && most <= UNITS_PER_TURN as usize * SLICE_BYTES, "{most} bytes in a turn");
+    assert!(most > 0 && most <= UNIDENTIFIED_UNITS as usize * SLICE_BYTES, "{most} bytes in a turn");
+}
+
+/// Guards against a fault of a trial: 700 joined proxies that send all the time kept each other waiting.
+#[tokio::test]
+async fn identified_clients_share_a_budget_however_many_they_are() {
+    const READERS: usize = 500;
+    let (total, budget) = (Arc::default(), TurnBudget::for_clients());
+    for _ in 0..READERS {
+        let account = budget.open_account(None);
+        let mut reader = SlicedReader::new(tokio::io::repeat(b'x'), account.clone());
+        reader.identify(account);
+        spawn_endless_reader(reader, &total);
+    }
+    tokio::spawn(async move { budget.refill().await });
+    let most = most_read_in_a_turn(&total, READERS).await;
+    assert!(most > 0 && most <= CLIENT_UNITS as usize * SLICE_BYTES, "{most} bytes in a turn");
 }
 
 /// Lets connections wait for a budget of which nothing is left, then refills it; returns their numbers in the
 /// order in which they are served. Each is given with the time since the one before was accepted, and the bytes
 /// of its message.
 async fn order_of_service(connections: &[(u64, Duration, u64)]) -> Vec<u64> {
-    let budget = TurnBudget::new();
-    for _ in 0..UNITS_PER_TURN {
+    let budget = TurnBudget::for_unidentified();
+    for _ in 0..UNIDENTIFIED_UNITS {
         open_account(&budget).spend(Work::Slice).await;
     }
     let (sender, mut order) = tokio::sync::mpsc::unbounded_channel();
@@ -105,7 +124,7 @@
         let (account, sender) = (open_account(&budget), sender.clone());
         account.set_message_end(message_end);
         tokio::spawn(async move {
-            for _ in 0..UNITS_PER_TURN {
+            for _ in 0..UNIDENTIFIED_UNITS {
                 account.spend(Work::Slice).await;
             }
             sender.send(connection_id).unwrap();
@@ -152,7 +171,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn connection_that_has_had_much_work_done_comes_later() {
-    let budget = TurnBudget::new();
+    let budget = TurnBudget::for_unidentified();
     let busy = open_account(&budget);
     for _ in 0..3 {
         busy.spend(Work::Pong).await;
@@ -164,7 +183,7 @@
 
 #[tokio::test]
 async fn units_of_a_connection_that_ends_while_it_waits_go_to_others() {
-    let budget = TurnBudget::new();
+    let budget = TurnBudget::for_unidentified();
     let waiting: Vec<_> = (0..100)
         .map(|_| {
             let account = open_account(&budget);
@@ -179,5 +198,5 @@
         let _ = task.await;
     }
     assert!(budget.queue().requests.is_empty() && budget.queue().order.is_empty());
-    assert!(budget.queue().free_units <= UNITS_PER_TURN);
+    assert!(budget.queue().free_units <= UNIDENTIFIED_UNITS);
 }
