Close surplus collectors of a zone before connections without a client

Strangers that name a zone could hold all slots, and the one that an eviction freed was contested by all clients that dial.

Cause: connections without a client were evicted first in every case, however many collectors a zone had.

Change: a zone that has more than four connections of collectors makes room first. Then come connections without a client, then zones that have several. A failed accept frees descriptors in the same order.

Tests: `surplus_collectors_of_a_zone_are_closed_before_unidentified_connections` failed before.

--- a/crates/wingfold-node/src/accept.rs
+++ b/crates/wingfold-node/src/accept.rs
@@ -49,9 +49,8 @@
                 if let Some(suppressed) = failure_log.allow_line() {
                     tracing::warn!(%error, suppressed, "accept failed");
                 }
-                // If file descriptors ran out, closing an unidentified connection frees one without losing a
-                // client.
-                admission.evict_unidentified();
+                // If file descriptors ran out, closing a connection that nobody needs frees one.
+                admission.make_room();
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/crates/wingfold-node/src/admission.rs
+++ b/crates/wingfold-node/src/admission.rs
@@ -139,10 +139,10 @@
         Ok(Event::Usage { proxy: ProxyId(report.proxy), class: ClassId(class), requests: report.requests })
     }
 
-    /// Admits a connection whose client is not identified yet. If no slot is free, evicts another
-    /// unidentified connection or a collector's surplus one; fails if there is none to evict.
+    /// Admits a connection whose client is not identified yet. If no slot is free, evicts another connection;
+    /// fails if there is none to evict.
     pub fn admit(self: &Arc<Self>) -> Result<(ConnectionSlot, UnidentifiedSlot), NoFreeSlot> {
-        if self.is_full() && !self.evict_unidentified() && !lock(&self.collectors).evict_surplus() {
+        if self.is_full() && !self.make_room() {
             return Err(NoFreeSlot);
         }
         let open_connections = self.open_connections.fetch_add(1, Ordering::Relaxed) + 1;
@@ -160,6 +160,14 @@
         self.open_connections.load(Ordering::Relaxed) >= self.bounds.max_connections
     }
 
+    /// Evicts a connection: of a zone that has more collectors than sound ones can be, else an unidentified one,
+    /// else one of a zone that has several collectors. Returns false if there is none.
+    pub fn make_room(&self) -> bool {
+        lock(&self.collectors).evict_surplus(self.bounds.collectors_per_zone)
+            || self.evict_unidentified()
+            || lock(&self.collectors).evict_surplus(1)
+    }
+
     /// Evicts the first unidentified connection by [`EvictionRank`]; returns false if there is none.
     pub fn evict_unidentified(&self) -> bool {
         let Some((_, evicted)) = lock(&self.unidentified).pop_first() else { return false };
--- a/crates/wingfold-node/src/admission/collectors.rs
+++ b/crates/wingfold-node/src/admission/collectors.rs
@@ -48,10 +48,10 @@
         }
     }
 
-    /// Closes the connection that has been silent for longest in a zone that has more than one; returns false
-    /// if there is none.
-    pub fn evict_surplus(&mut self) -> bool {
-        let surplus = self.zones.values().filter(|connections| connections.len() > 1).flatten();
+    /// Closes the connection that has been silent for longest in a zone that has more than `kept_per_zone`;
+    /// returns false if there is none.
+    pub fn evict_surplus(&mut self, kept_per_zone: usize) -> bool {
+        let surplus = self.zones.values().filter(|connections| connections.len() > kept_per_zone).flatten();
         let Some((&connection_id, _)) = surplus.min_by_key(|(_, connection)| connection.last_message) else {
             return false;
         };
--- a/crates/wingfold-node/src/admission/tests.rs
+++ b/crates/wingfold-node/src/admission/tests.rs
@@ -66,6 +66,24 @@
     drop(proxy);
 }
 
+/// Guards against strangers that name a zone, hold all slots, and leave sound clients none to be identified in.
+#[test]
+fn surplus_collectors_of_a_zone_are_closed_before_unidentified_connections() {
+    let (admission, _receiver) = admission(8);
+    let zone = Arc::<str>::from("a");
+    let collectors: Vec<_> = (0..6).map(|_| register_collector(&admission, &zone)).collect();
+    let unidentified = [admission.admit().unwrap(), admission.admit().unwrap()];
+    for surplus in &collectors[..2] {
+        assert!(admission.admit().is_ok());
+        assert!(is_closed(&surplus.2));
+    }
+    assert_eq!(admission.metrics.unidentified_evicted_total.get(), 0);
+    assert!(admission.admit().is_ok());
+    assert_eq!(admission.metrics.unidentified_evicted_total.get(), 1);
+    assert!(!collectors[2..].iter().any(|(.., sender)| is_closed(sender)));
+    drop(unidentified);
+}
+
 #[test]
 fn connection_ids_rise_in_order_of_admission() {
     let (admission, _receiver) = admission(9);
--- a/crates/wingfold-node/src/config/bounds.rs
+++ b/crates/wingfold-node/src/config/bounds.rs
@@ -13,8 +13,7 @@
 const MIN_HOSTS: usize = 1024;
 /// Least memory that bounds are derived from, in MiB, even if the limit is lower.
 const MIN_MEMORY_MB: usize = 8;
-/// Connections of one zone's collector that a director should have room for: the ends of broken ones may be
-/// noticed only after the collector has connected again.
+/// Value of [`Bounds::collectors_per_zone`].
 const COLLECTORS_PER_ZONE: usize = 4;
 /// File descriptors that are always open: the log, the listener, the socket for datagrams, those of the
 /// runtime, two calls to discovery, and the overdue and abandoned calls that these replace.
@@ -60,6 +59,9 @@
     /// Time from accepting a connection until its first message names its client. The protocol allows a
     /// connection to be closed whose client has not joined within a second.
     pub identification_timeout: Duration,
+    /// Connections that one zone's collector may have at once: one, and broken ones whose end is noticed only
+    /// after the collector has connected again. More are closed first when descriptors run out.
+    pub collectors_per_zone: usize,
     /// Time without a message after which the connection of an identified client is closed as dead. A proxy
     /// reports its usage each period, but only if there was some, and a proxy whose connection is closed for
     /// being idle must connect and be assigned again; so this is hundreds of periods. Until then a dead
@@ -141,6 +143,7 @@
             max_connections: connections,
             max_clients: clients,
             identification_timeout: IDENTIFICATION_TIMEOUT,
+            collectors_per_zone: COLLECTORS_PER_ZONE,
             idle_timeout: (duration(settings.report_period) * IDLE_TIMEOUT_PERIODS).max(MIN_IDLE_TIMEOUT),
             max_unread_bytes: MAX_UNREAD_BYTES,
             max_queued_reports: queued_reports.clamp(MIN_QUEUED_REPORTS, MAX_QUEUED_REPORTS) as usize,
